Wait for what a restart brings back instead of refusing; end no answer early

Change: the commit index goes to disk, so a member that starts again applies what it knows before it hears a leader; the first election comes early where reads pass the log; a new process is welcomed with all records; requests wait up to 1.8 s for the first configuration or server; a stream leaves a slow server only if it may go on elsewhere, else it waits; listeners refuse new connections once they close.

--- a/src/control/consensus.rs
+++ b/src/control/consensus.rs
@@ -155,6 +155,8 @@
     /// first is committed.
     members: VecDeque<(u64, member::Membership)>,
     commit: u64,
+    /// What the disk was last given of `commit`.
+    commit_written: u64,
     role: Role,
     leader: Option<member::Member>,
     /// When the leader was heard last, or this member started.
@@ -203,17 +205,21 @@
             clock = clock.max(entry.clock_ms);
             log.push(entry);
         }
+        let is_open = settings.admission != Admission::Ordered;
         let mut raft = Self {
             rng,
             hard: saved.hard,
-            commit: log.base().index,
+            commit: saved.commit.clamp(log.base().index, log.tail().index),
+            commit_written: saved.commit,
             durable: log.tail().index,
             log,
             encoded: None,
             members,
             role: Role::Follower,
             leader: None,
-            heard: (saved.hard.cluster != 0).then_some(now),
+            // Before its end it may have promised a leader not to vote. Where reads pass the
+            // log, nothing rests on that promise, and the next leader need not wait for it.
+            heard: (saved.hard.cluster != 0 && !is_open).then_some(now),
             deadline: now,
             writes: VecDeque::new(),
             write: log::Write {
@@ -235,6 +241,9 @@
         raft.draw_deadline(now);
         if raft.is_sole_voter() {
             raft.deadline = now;
+        } else if is_open {
+            // All may have ended together: whoever still has a leader grants no pre-vote.
+            raft.deadline = now + raft.deadline.saturating_sub(now) / 4;
         }
         raft
     }
@@ -318,6 +327,7 @@
     /// Lets time pass.
     pub fn tick(&mut self, now: Duration) {
         self.check_quorum(now);
+        self.write_commit();
         self.hail(now);
         if matches!(self.role, Role::Leader(_)) {
             self.manage_members(now);
--- a/src/control/consensus/durable.rs
+++ b/src/control/consensus/durable.rs
@@ -48,7 +48,9 @@
             seq: self.write.seq + 1,
             ..log::Write::default()
         };
-        let write = std::mem::replace(&mut self.write, next);
+        let mut write = std::mem::replace(&mut self.write, next);
+        write.commit = Some(self.commit);
+        self.commit_written = self.commit;
         let tail = self.log.tail().index;
         let hard = write.hard.is_some();
         self.writes.push_back((write.seq, tail, hard));
@@ -83,6 +85,13 @@
         self.snapshot = Some(snapshot);
     }
 
+    /// Has the disk told what is committed, if no other write is under way that could say so.
+    pub(super) fn write_commit(&mut self) {
+        if self.commit > self.commit_written && self.writes.is_empty() && !self.stalled {
+            self.write.commit = Some(self.commit);
+        }
+    }
+
     pub(super) fn write_hard(&mut self) {
         self.write.hard = Some(self.hard);
     }
--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -72,6 +72,8 @@
         pub snapshot: Option<Snapshot>,
         /// Entries after the snapshot, without gaps.
         pub entries: Vec<Entry>,
+        /// Entries up to here were known to be committed.
+        pub commit: u64,
     }
 
     /// Something to write and sync. Writes are carried out in the order of `seq`.
@@ -83,6 +85,9 @@
         pub snapshot: Option<Snapshot>,
         /// The durable word.
         pub hard: Option<Hard>,
+        /// Entries up to here are committed. Lets a member that starts again apply them before
+        /// it hears a leader.
+        pub commit: Option<u64>,
         /// Entries. One with an index that was written before replaces it and all after it.
         pub entries: Vec<Entry>,
     }
@@ -91,7 +96,10 @@
 impl Write {
     /// Whether there is nothing to write.
     pub fn is_empty(&self) -> bool {
-        self.snapshot.is_none() && self.hard.is_none() && self.entries.is_empty()
+        self.snapshot.is_none()
+            && self.hard.is_none()
+            && self.commit.is_none()
+            && self.entries.is_empty()
     }
 }
 
--- a/src/control/record.rs
+++ b/src/control/record.rs
@@ -31,6 +31,8 @@
         Hard(log::Hard),
         /// An entry; replaces a former one of its index and all after it.
         Entry(log::Entry),
+        /// Entries up to here are committed.
+        Commit(u64),
     }
 }
 
@@ -93,6 +95,9 @@
     for entry in &write.entries {
         put(buf, 3, entry);
     }
+    if let Some(commit) = &write.commit {
+        put(buf, 4, commit);
+    }
 }
 
 enum Step {
@@ -157,6 +162,7 @@
         1 => decode(body).map(Record::Snapshot),
         2 => decode(body).map(Record::Hard),
         3 => decode(body).map(Record::Entry),
+        4 => decode(body).map(Record::Commit),
         tag => Err(format!("a record of unknown kind {tag}")),
     }
 }
@@ -176,6 +182,7 @@
     match record {
         Record::Identity(me) => scan.identity = Some(me),
         Record::Hard(hard) => saved.hard = hard,
+        Record::Commit(commit) => saved.commit = saved.commit.max(commit),
         Record::Snapshot(snapshot) => {
             saved.entries.clear();
             saved.snapshot = Some(snapshot);
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -9,6 +9,7 @@
 
 use arc_swap::ArcSwapOption;
 use tokio::sync::Notify;
+use tokio::time;
 
 use super::event::Event;
 use super::node;
@@ -79,6 +80,8 @@
     /// Records to pass on at once.
     news: Mutex<Vec<gossip::News>>,
     news_came: Notify,
+    /// A configuration came into force, or a backend server became known.
+    gained: Notify,
 }
 
 /// Reads a published document: the catalog, or all that is wrong with it.
@@ -110,6 +113,7 @@
             loads_changed: Notify::new(),
             news: Mutex::default(),
             news_came: Notify::new(),
+            gained: Notify::new(),
             settings,
         })
     }
@@ -134,6 +138,36 @@
         self.state.lock().expect("entry state lock")
     }
 
+    /// The configuration in force here, or the first one if it comes within `limit`.
+    pub(crate) async fn await_catalog(&self, limit: Duration) -> Option<Arc<catalog::Catalog>> {
+        let waiting = async {
+            loop {
+                let gained = self.gained.notified();
+                if let Some(catalog) = self.catalog() {
+                    return catalog;
+                }
+                gained.await;
+            }
+        };
+        time::timeout(limit, waiting).await.ok()
+    }
+
+    /// Waits until a backend server of `service` is known, `limit` at the most.
+    pub(crate) async fn await_server(&self, service: &str, limit: Duration) {
+        let waiting = async {
+            loop {
+                let gained = self.gained.notified();
+                let now = self.node.now();
+                if self.state().register.ready(now, service).next().is_some() {
+                    return;
+                }
+                gained.await;
+            }
+        };
+        // Whoever waits finds out by itself what is known then.
+        let _ = time::timeout(limit, waiting).await;
+    }
+
     /// Whether callers' requests can be served: the configuration is known, and servers of at
     /// least one service.
     pub fn ready(&self) -> bool {
@@ -165,7 +199,7 @@
         match read(&document.text) {
             Ok(catalog) => {
                 self.catalog.store(Some(Arc::new(catalog)));
-                self.loads_changed.notify_one();
+                self.gained.notify_waiters();
                 log_event!(self.node.log(), Event::DocumentInForce, "version" => version,
                     "bytes" => document.text.len());
             }
@@ -201,6 +235,7 @@
         let taken = self.state().register.take(now, record.clone(), direct);
         match taken {
             register::Taken::New => {
+                self.gained.notify_waiters();
                 log_event!(self.node.log(), Event::ServerKnown, "server" => &record.id,
                     "service" => &record.service, "addr" => record.addr, "zone" => &record.zone,
                     "seq" => record.seq, "direct" => direct);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -293,11 +293,13 @@
         let wait = Wait::new(course, chosen.first_ms);
         let sent = {
             let sending = conn.send(request);
-            let dead = self.dead(&server, wait.quiet);
+            tokio::pin!(sending);
             tokio::select! {
-                sent = sending => sent,
-                () = dead => Err(pool::Lost::Sent(SILENT.to_owned())),
-                () = time::sleep(wait.hung) => Err(pool::Lost::Sent(HUNG_UP.to_owned())),
+                sent = &mut sending => sent,
+                why = self.give_up(course, &server, wait) => match why {
+                    Some(why) => Err(pool::Lost::Sent(why.to_owned())),
+                    None => sending.await,
+                },
             }
         };
         let response = match sent {
@@ -372,7 +374,7 @@
         let is_stream = course.route.kind == catalog::Kind::Stream && success;
         let mut reader = stream::Reader::new(self, chosen, conn, body, &answer);
         if !is_stream {
-            let whole = reader.collect(MOST_WHOLE, wait.hung).await;
+            let whole = reader.collect(MOST_WHOLE, course.left()).await;
             let body = whole.ok_or(verdict::End::Broken)?;
             let whole = Whole { head, body };
             return if whole.head.status.is_server_error() {
@@ -383,22 +385,46 @@
                 Ok(Got::Whole(whole))
             };
         }
-        let got = time::timeout(wait.hung, reader.next(wait.quiet)).await;
-        match got {
-            Ok(stream::Next::Piece(first)) => Ok(Got::Stream {
+        let leaves = || self.may_move(course);
+        let got = time::timeout(wait.hung, reader.next(wait.quiet, leaves)).await;
+        let next = match got {
+            Ok(next) => next,
+            Err(_) if self.may_move(course) => return Err(verdict::End::Slow.into()),
+            Err(_) => reader.next(wait.quiet, || false).await,
+        };
+        match next {
+            stream::Next::Piece(first) => Ok(Got::Stream {
                 head: Box::new(head),
                 first,
                 reader: Box::new(reader),
             }),
-            Ok(stream::Next::End) => {
+            stream::Next::End => {
                 let body = Bytes::new();
                 Ok(Got::Whole(Whole { head, body }))
             }
-            Ok(stream::Next::Lost(end)) => Err(end.into()),
-            Err(_) => Err(verdict::End::Slow.into()),
+            stream::Next::Lost(end) => Err(end.into()),
         }
     }
 
+    /// Ends when a request should leave the server that does not answer it, with the reason; or
+    /// `None` if it has to stay.
+    async fn give_up(
+        &self,
+        course: &Course,
+        server: &register::Record,
+        wait: Wait,
+    ) -> Option<&'static str> {
+        let why = tokio::select! {
+            () = self.dead(server, wait.quiet) => SILENT,
+            () = time::sleep(wait.hung) => HUNG_UP,
+        };
+        // It has been sent, so it counts as one that may have run.
+        let mut past = course.past;
+        past.ran += 1;
+        let may = verdict::again(&course.route, &verdict::End::Slow, past, course.left());
+        (may && self.spend(&course.service)).then_some(why)
+    }
+
     /// Draws conclusions from an attempt that failed.
     fn judge(self: &Arc<Self>, course: &Course, server: &register::Record, end: &verdict::End) {
         let now = self.node.now();
--- a/src/edge/direct/door.rs
+++ b/src/edge/direct/door.rs
@@ -84,15 +84,21 @@
     }
 }
 
-/// Serves connections until the process ends.
+/// Serves connections until its stage is [`Stage::Closing`]: then new ones are refused, so that
+/// their callers turn elsewhere at once.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
     stage: watch::Receiver<Stage>,
     open: Open,
 ) {
+    let mut until = stage.clone();
     loop {
-        match listener.accept().await {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = until.wait_for(|one| *one == Stage::Closing) => return,
+        };
+        match accepted {
             Ok((tcp, _)) => {
                 open.0.fetch_add(1, Ordering::AcqRel);
                 let counted = Counted(open.clone());
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -375,11 +375,23 @@
         drop(peers);
         self.named.remove(&from.link);
         if is_new {
+            self.welcome(now, from.link);
             log_event!(self.direct.node.log(), Event::PeerSeen, "peer" => from.link,
                 "life" => from.life.0, "votes" => from.votes, "version" => from.version);
         }
     }
 
+    /// Tells a process that has just come all that it cannot know yet.
+    fn welcome(&mut self, now: Duration, addr: SocketAddr) {
+        let peers = self.peer_addrs();
+        self.send(gossip::News::Hello(peers), &[addr]);
+        let heard = self.direct.state().register.heard(now, PASS_ON);
+        for records in gossip::chunks(heard) {
+            self.send(gossip::News::Records(records), &[addr]);
+        }
+        self.loads_due = true;
+    }
+
     /// Fetches the newest document from a process that holds a newer one.
     fn pull(&self, from: SocketAddr) {
         if self.pulling.swap(true, Ordering::AcqRel) {
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -27,6 +27,13 @@
 use crate::log_event;
 use crate::wire::id;
 
+/// Longest wait of a request for the first configuration or the first backend server that this
+/// process hears of: both come within a second and a half of a restart of the whole.
+const GATHER: Duration = Duration::from_millis(1_800);
+
+/// Part of a caller's patience that it may wait for that.
+const GATHER_PART: f64 = 0.4;
+
 /// When a caller is asked to come back where nothing says better.
 const COME_BACK: Duration = Duration::from_millis(300);
 
@@ -103,7 +110,9 @@
         let catalog = self.catalog();
         let limits = catalog.as_ref().map(|one| *one.limits());
         let body = read_body(body, &limits.unwrap_or_default()).await?;
-        let Some(catalog) = catalog else {
+        let patience = ask.patience.unwrap_or(MOST_PATIENCE);
+        let gather = GATHER.min(patience.mul_f64(GATHER_PART));
+        let Some(catalog) = self.await_catalog(gather).await else {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(Denied::new(status, "no configuration known yet"));
         };
@@ -118,13 +127,13 @@
         if workspace.is_none() && catalog.keyed() && !route.public {
             return Err(Denied::new(StatusCode::UNAUTHORIZED, "no such key"));
         }
-        let patience = ask.patience.unwrap_or(MOST_PATIENCE);
         let limit = patience.min(route.timeout);
         let Some(target) = route.target(rand::random()) else {
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(Denied::new(status, "the route leads nowhere"));
         };
         let service = target.service.clone();
+        self.await_server(&service, gather).await;
         let engine = catalog.service(&service).and_then(|one| one.engine);
         let name = workspace.map(|one| one.name.clone());
         let path = format!("{}{}", ask.host, head.uri);
@@ -203,13 +212,14 @@
                 Ok(got) => return Ok(got),
                 Err(missed) => missed,
             };
-            if !verdict::again(&course.route, &missed.end, course.past, course.left()) {
-                return Err(missed);
-            }
-            let now = self.node.now();
-            let entries = self.entries();
-            let is_free = missed.end == verdict::End::Unsent;
-            if !is_free && !self.state().budget.spend(now, &course.service, entries) {
+            // Who moved on of its own will has spent its part of the budget before.
+            let is_free = matches!(
+                missed.end,
+                verdict::End::Unsent | verdict::End::Slow | verdict::End::Silent
+            );
+            let may = verdict::again(&course.route, &missed.end, course.past, course.left())
+                && (is_free || self.spend(&course.service));
+            if !may {
                 return Err(missed);
             }
             if course.past.tried > 1 && missed.end.not_run() {
@@ -218,6 +228,21 @@
         }
     }
 
+    /// Spends a part of the budget of requests that are sent again.
+    pub(super) fn spend(&self, service: &str) -> bool {
+        let now = self.node.now();
+        let entries = self.entries();
+        self.state().budget.spend(now, service, entries)
+    }
+
+    /// Whether a request may leave the server that it waits at, and spends what that takes.
+    /// Whoever may not goes on waiting: an answer may yet come.
+    pub(super) fn may_move(&self, course: &attempt::Course) -> bool {
+        let end = verdict::End::Slow;
+        verdict::again(&course.route, &end, course.past, course.left())
+            && self.spend(&course.service)
+    }
+
     /// Passes events on as they come; where the stream breaks off, it goes on elsewhere.
     fn pass_stream(
         self: &Arc<Self>,
@@ -236,7 +261,7 @@
             yield Ok(body::Frame::data(first.bytes));
             let limit = time::Instant::from_std(course.end);
             loop {
-                let next = time::timeout_at(limit, time::timeout(course.stuck(), reader.next(attempt::QUIET)));
+                let next = time::timeout_at(limit, time::timeout(course.stuck(), reader.next(attempt::QUIET, || direct.may_move(&course))));
                 let lost = match next.await {
                     Ok(Ok(stream::Next::Piece(piece))) => {
                         watch.events += piece.events;
@@ -252,7 +277,8 @@
                         return;
                     }
                     Ok(Ok(stream::Next::Lost(end))) => end,
-                    Ok(Err(_)) => verdict::End::Slow,
+                    Ok(Err(_)) if direct.may_move(&course) => verdict::End::Slow,
+                    Ok(Err(_)) => continue,
                     Err(_) => verdict::End::Late,
                 };
                 let resumed = direct.resume(&mut course, &reader, &lost, after.as_deref());
@@ -284,17 +310,17 @@
         lost: &verdict::End,
         after: Option<&str>,
     ) -> Option<(stream::Piece, Box<stream::Reader>)> {
-        let now = self.node.now();
         match lost {
             verdict::End::Silent => self.missed(&reader.server.id, "silent midway"),
             verdict::End::Late => return None,
+            verdict::End::Slow => {}
             _ => self.look_after(course.fingerprint, reader.server.clone()),
         }
         course.tried.push(reader.server.id.clone());
         let after = after?;
-        let entries = self.entries();
+        let is_free = matches!(lost, verdict::End::Slow | verdict::End::Silent);
         let may = verdict::again(&course.route, lost, course.past, course.left())
-            && self.state().budget.spend(now, &course.service, entries);
+            && (is_free || self.spend(&course.service));
         if !may {
             return None;
         }
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -96,8 +96,11 @@
         Some(out.freeze())
     }
 
-    /// The next events. After `quiet` of silence the server is asked whether it is there.
-    pub async fn next(&mut self, quiet: Duration) -> Next {
+    /// The next events. After `quiet` of silence the server is asked whether it is there; if it
+    /// is not, `leaves` tells whether the request leaves it. To be called again after it was
+    /// dropped.
+    pub async fn next(&mut self, quiet: Duration, leaves: impl Fn() -> bool) -> Next {
+        let mut stays = false;
         loop {
             let piece = self.take_events();
             if piece.events > 0 {
@@ -111,7 +114,13 @@
                 let dead = self.direct.dead(&self.server, quiet);
                 tokio::select! {
                     frame = self.body.frame() => frame,
-                    () = dead => return Next::Lost(verdict::End::Silent),
+                    () = dead, if !stays => {
+                        if leaves() {
+                            return Next::Lost(verdict::End::Silent);
+                        }
+                        stays = true;
+                        continue;
+                    }
                 }
             };
             match frame {
--- a/tests/consensus_votes.rs
+++ b/tests/consensus_votes.rs
@@ -51,6 +51,7 @@
             state: Vec::new(),
         }),
         entries: entries.collect(),
+        commit: 0,
     }
 }
 
