Keep two lanes of engines: tight pauses apart from long prompts, which are read in turn

Change: place keeps servers for tight pauses, as many as need them; long prompts are read on the whole other lane, one after the other, the shortest first across all entries; middle ones are written in the lane of tight pauses; the board counts work given to servers by growth alone.

--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -9,8 +9,16 @@
 /// How long the word of another entry counts. Entries speak up each half second.
 const HOLDS: Duration = Duration::from_millis(2_500);
 
-/// Time still taken for a read whose first event is overdue.
-const OVERDUE_MS: f64 = 20.0;
+/// Part of a read that is taken to be left once it should have ended: what takes longer than
+/// predicted goes on for a while, and a server that looks free would draw all that comes.
+const OVERDUE_PART: f64 = 0.5;
+
+/// How long the word of another entry on who waits there counts; it speaks up each 0.4 s while
+/// somebody does. An entry that has died holds nobody up for longer.
+const WAIT_HOLDS: Duration = Duration::from_millis(900);
+
+/// Ranks told to others.
+const MOST_WAITING: usize = 4;
 
 /// How long a server stays in what an entry tells after its last request there: a count that was
 /// told once and got lost is told again.
@@ -31,7 +39,8 @@
         pub readers: u32,
         /// Requests that write.
         pub writers: u32,
-        /// Milliseconds of reading still to do, parts of other servers' prompts among them.
+        /// Milliseconds of reading of all who wait for their first event, parts of other
+        /// servers' prompts among them. What is left to read is no more than that.
         pub read_ms: u32,
         /// Tokens of context of those who write.
         pub context: u64,
@@ -42,6 +51,10 @@
         /// Milliseconds of work that the entry has ever given the server to read. Only its
         /// growth counts, so a datagram that is lost is made up for by the next.
         pub given_ms: i64,
+        /// Requests without tight pauses whose parts are to be read there.
+        pub long: u32,
+        /// Of `read_ms`, what should have been read by now.
+        pub overdue_ms: u32,
         /// Milliseconds until all work given to the server is read, by all entries.
         pub backlog_ms: u32,
     }
@@ -62,9 +75,6 @@
     pub server: u64,
     /// Milliseconds of reading.
     pub read_ms: f64,
-    /// Milliseconds by which the server's work grows: the reading, and the time that the server
-    /// is kept free for it before.
-    pub work_ms: f64,
 }
 
 /// A request's claim on servers.
@@ -78,7 +88,9 @@
     pub answer: u64,
     /// Longest pause between its events in milliseconds. 0: it has none.
     pub bound_ms: u32,
-    /// When its reading is expected to begin and to end.
+    /// Whether it is read in the lane of long prompts.
+    pub is_long: bool,
+    /// When its reading began, and is expected to end.
     pub reads: (Duration, Duration),
 }
 
@@ -95,6 +107,8 @@
     at: Duration,
     loads: HashMap<u64, Load>,
     given: HashMap<u64, i64>,
+    /// Ranks of the long prompts that wait there for their turn.
+    waiting: Vec<u32>,
 }
 
 /// Work given to a server to read that is not yet done.
@@ -134,13 +148,57 @@
     told: HashMap<SocketAddr, Told>,
     backlogs: HashMap<u64, Backlog>,
     given: HashMap<u64, Given>,
+    /// Long prompts of this entry that wait for their turn: their ranks.
+    waiting: HashMap<Ticket, u32>,
 }
 
 impl Board {
+    /// A long prompt waits for its turn with this rank; the lowest goes first.
+    pub fn wait(&mut self, ticket: Option<Ticket>, rank: u32) -> Ticket {
+        let ticket = ticket.unwrap_or_else(|| {
+            self.next += 1;
+            Ticket(self.next)
+        });
+        self.waiting.insert(ticket, rank);
+        ticket
+    }
+
+    /// It waits no more.
+    pub fn stop_waiting(&mut self, ticket: Ticket) {
+        self.waiting.remove(&ticket);
+    }
+
+    /// Whether none that waits anywhere goes before `rank`.
+    pub fn is_first(&self, now: Duration, ticket: Ticket, rank: u32) -> bool {
+        let own = self.waiting.iter().filter(|(one, _)| **one != ticket);
+        let own = own.map(|(_, rank)| *rank);
+        own.chain(self.waiting_elsewhere(now))
+            .all(|one| rank <= one)
+    }
+
+    /// Whether a long prompt waits anywhere.
+    pub fn any_waits(&self, now: Duration) -> bool {
+        !self.waiting.is_empty() || self.waiting_elsewhere(now).next().is_some()
+    }
+
+    /// Ranks of the long prompts that wait here, lowest first, as many as matter.
+    pub fn own_waiting(&self) -> Vec<u32> {
+        let mut ranks: Vec<u32> = self.waiting.values().copied().collect();
+        ranks.sort_unstable();
+        ranks.truncate(MOST_WAITING);
+        ranks
+    }
+
+    fn waiting_elsewhere(&self, now: Duration) -> impl Iterator<Item = u32> {
+        let told = self.told.values();
+        let told = told.filter(move |one| now < one.at + WAIT_HOLDS);
+        told.flat_map(|one| one.waiting.iter().copied())
+    }
+
     /// Enters a request.
     pub fn enter(&mut self, now: Duration, claim: Claim) -> Ticket {
         for part in &claim.parts {
-            self.give(now, part.server, part.work_ms);
+            self.give(now, part.server, part.read_ms);
         }
         self.next += 1;
         let ticket = Ticket(self.next);
@@ -197,6 +255,7 @@
         life: id::Incarnation,
         seq: u64,
         loads: Vec<Load>,
+        waiting: Vec<u32>,
     ) {
         if let Some(told) = self.told.get(&from)
             && told.life == life
@@ -235,6 +294,7 @@
             at: now,
             loads,
             given,
+            waiting,
         };
         self.told.insert(from, told);
     }
@@ -264,7 +324,7 @@
     }
 
     /// All that runs, by server.
-    pub fn view(&self, now: Duration) -> HashMap<u64, Load> {
+    pub fn view(&mut self, now: Duration) -> HashMap<u64, Load> {
         let own = self.own_loads(now);
         let mut out: HashMap<u64, Load> = own.into_iter().map(|one| (one.server, one)).collect();
         for told in self.told.values() {
@@ -277,15 +337,18 @@
                     server: load.server,
                     ..Load::default()
                 });
-                join(sum, load, age);
+                join(sum, load);
             }
         }
         for load in out.values_mut() {
-            // Where nobody reads there is no work, whatever was expected.
-            if load.read_ms > 0 {
-                let backlog = self.backlogs.get(&load.server);
-                load.backlog_ms = backlog.map_or(0, |one| one.left(now) as u32);
-            }
+            let Some(backlog) = self.backlogs.get_mut(&load.server) else {
+                continue;
+            };
+            // Work that was expected and is done sooner, or was given up, is seen by this.
+            let left = backlog.left(now).min(f64::from(load.read_ms));
+            *backlog = Backlog { ms: left, at: now };
+            let overdue = f64::from(load.overdue_ms) * OVERDUE_PART;
+            load.backlog_ms = left.max(overdue) as u32;
         }
         out
     }
@@ -294,9 +357,11 @@
 fn add(load: &mut Load, now: Duration, run: &Run, part: &Part, is_first: bool) {
     let claim = &run.claim;
     if !run.writes {
-        let left = claim.reads.1.saturating_sub(now).as_secs_f64() * 1e3;
-        let read_ms = left.clamp(OVERDUE_MS.min(part.read_ms), part.read_ms);
-        load.read_ms += read_ms as u32;
+        load.read_ms += part.read_ms.ceil() as u32;
+        load.long += u32::from(claim.is_long);
+        if now > claim.reads.1 {
+            load.overdue_ms += part.read_ms.ceil() as u32;
+        }
     }
     if !is_first {
         return;
@@ -313,11 +378,12 @@
     }
 }
 
-fn join(sum: &mut Load, load: &Load, age: Duration) {
-    let age_ms = age.as_millis() as u32;
+fn join(sum: &mut Load, load: &Load) {
     sum.readers += load.readers;
     sum.writers += load.writers;
-    sum.read_ms += load.read_ms.saturating_sub(age_ms);
+    sum.read_ms += load.read_ms;
+    sum.overdue_ms += load.overdue_ms;
+    sum.long += load.long;
     sum.context += load.context;
     sum.memory += load.memory;
     sum.bound_ms = tighter(sum.bound_ms, load.bound_ms);
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -50,8 +50,13 @@
         Hello(Vec<SocketAddr>),
         /// Backend servers heard lately.
         Records(Vec<register::Record>),
-        /// All that the sender has running, by backend server.
-        Loads(Vec<board::Load>),
+        /// All that the sender has running.
+        Loads {
+            /// By backend server.
+            loads: Vec<board::Load>,
+            /// Ranks of the long prompts that wait for their turn, lowest first.
+            waiting: Vec<u32>,
+        },
         /// A backend server died while it ran this request.
         Died(id::Fingerprint, String),
     }
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -1,15 +1,30 @@
-//! Where a request goes: the first server and those that help it read, chosen by predicting both
-//! its own first event and the pauses of those that write there.
+//! Where a request goes: the server that writes its answer, and those that help it read.
 //!
-//! All costs are in one unit, the share of a usual request's worth that is expected to be lost.
+//! Servers are kept in two lanes. In the first, requests with tight pauses write; nothing long
+//! is read there, since a read beside writers stretches their pauses. In the second, long
+//! prompts are read, each in parts on the whole lane, one after the other: that leaves no server
+//! idle and keeps every part short enough for those who write there. The border moves with what
+//! there is to do, and all entries see it at about the same place.
 
 use std::time::Duration;
 
 use super::board;
 use super::model;
 
-/// Numbers of servers that a prompt may be split over.
-const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 10, 13, 17];
+/// Servers that a prompt may be split over: the first and 16 that help it.
+pub const MOST_WIDTH: usize = 17;
+
+/// Milliseconds of reading alone from which a prompt takes the whole lane.
+const LONG_MS: f64 = 900.0;
+
+/// Milliseconds of reading that a part of a shorter prompt is meant to have. It goes before what
+/// waits there, so it delays that by no more.
+const PART_MS: f64 = 120.0;
+
+/// A part goes before all that waits at a server, older parts among them. So a prompt that is
+/// not much shorter than what is read there waits for its turn; else the oldest would starve
+/// under load (a prompt predicted at 0.7 s took 12 s).
+const GOES_BEFORE: f64 = 0.5;
 
 /// Part of a pause's bound that a pass may fill: what is known of other entries is some
 /// milliseconds old.
@@ -21,26 +36,25 @@
 /// Share of a request's worth that is lost when it is late.
 const LATE: f64 = 0.75;
 
-/// What it costs, for each server besides the first, that any of them may fail the whole.
-const HELPER: f64 = 0.004;
+/// Milliseconds for which a server all of whose answers failed lately counts as busy.
+const FAILING_MS: f64 = 10_000.0;
 
 /// Cost of another zone: decides between equals.
 const ZONE: f64 = 0.003;
 
-/// Cost of using a server of the other lane, for a long prompt a 50 ms of reading.
+/// Cost of writing with a tight pause on a server of the other lane.
 const OTHER_LANE: f64 = 0.35;
 
-/// Milliseconds of reading at which a long prompt pays [`OTHER_LANE`] once.
-const OTHER_LANE_MS: f64 = 50.0;
+/// Requests with tight pauses that one server of their lane is meant for. Of 16 slots the rest
+/// are room for bursts.
+const A_SERVER: f64 = 12.0;
 
-/// A part of a prompt goes before all that waits at a server, older parts among them. So one
-/// that is not much shorter than what is read there waits until that has ended; else the oldest
-/// would starve under load (a prompt predicted at 0.7 s took 12 s).
-const GOES_BEFORE: f64 = 0.7;
+/// How much a long prompt gains by waiting: after its aim it ranks as one a third as long.
+const AGING: f64 = 2.0;
 
-/// Requests with tight pauses that one server of their lane is meant for: at 10 its passes take
-/// 1.5 times as long as with one, and five more prompts may come at once within a pause of 250 ms.
-const A_SERVER: f64 = 9.0;
+/// Milliseconds of reading left at a server at which the next prompt is sent there: the way to
+/// it takes as long.
+const NEARLY_FREE_MS: f64 = 15.0;
 
 /// Fewest servers that are worth two lanes.
 const LEAST_LANES: usize = 4;
@@ -63,7 +77,7 @@
 
 impl Need {
     /// Whether its pauses are tight.
-    fn is_tight(&self) -> bool {
+    pub fn is_tight(&self) -> bool {
         self.bound_ms > 0 && self.bound_ms <= TIGHT_MS
     }
 }
@@ -98,16 +112,20 @@
     pub first_ms: f64,
     /// Milliseconds that each of them reads.
     pub part_ms: f64,
-    /// Milliseconds to wait until what is read there has ended.
+    /// Milliseconds until what is read there has ended, if it has to wait for that.
     pub delay_ms: f64,
-    /// Expected loss.
-    pub cost: f64,
+}
+
+/// Rank of a long prompt that waits for its turn: the lowest goes first, so that the shortest
+/// waits least; who has waited for long gains on the others.
+pub fn rank(engine: &model::Engine, need: &Need, waited: Duration, aim: Duration) -> u32 {
+    let parts = waited.as_secs_f64() / aim.as_secs_f64().max(1e-3);
+    (engine.read_ms(need.prompt, 1) / (1.0 + AGING * parts)) as u32
 }
 
 /// Which servers are kept for requests with tight pauses: the first ones in the order of their
-/// keys, as many as such requests need. All entries come to about the same, since they see about
-/// the same loads.
-pub fn lane(servers: &[Server]) -> Vec<bool> {
+/// keys, as many as such requests need, and all of them while nothing long is to be read.
+pub fn lane(servers: &[Server], any_waits: bool) -> Vec<bool> {
     let count = servers.len();
     if count < LEAST_LANES {
         return vec![true; count];
@@ -117,8 +135,10 @@
         .filter(|one| is_tight(one))
         .map(|one| one.load.readers + one.load.writers)
         .sum();
+    let long = any_waits || servers.iter().any(|one| one.load.long > 0);
     let needed = (f64::from(tight) / A_SERVER).ceil() as usize + 1;
-    let kept = needed.clamp(2, count - 2);
+    let most = if long { count - 1 } else { count };
+    let kept = needed.clamp(2, most);
     let mut order: Vec<usize> = (0..count).collect();
     order.sort_by_key(|at| servers[*at].key);
     let mut lane = vec![false; count];
@@ -128,153 +148,161 @@
     lane
 }
 
-/// Places a request on engines. `None`: none of them has room.
-pub fn engine(engine: &model::Engine, need: &Need, servers: &[Server]) -> Option<Place> {
-    let lane = lane(servers);
-    let mut best: Option<Place> = None;
-    for width in WIDTHS {
-        if width > servers.len() {
-            break;
-        }
-        let Some(place) = at_width(engine, need, servers, &lane, width) else {
-            continue;
-        };
-        if best.as_ref().is_none_or(|one| place.cost < one.cost) {
-            best = Some(place);
-        }
-        if need.prompt <= u64::from(engine.chunk) {
-            break;
-        }
-    }
-    best
-}
-
-/// What a part costs at one server.
-struct Part {
-    cost: f64,
-    delay_ms: f64,
-    ready_ms: f64,
-    at: usize,
-}
-
-fn at_width(
+/// Places a request on engines. `None`: none of them has the memory now.
+///
+/// `any_waits`: whether a long prompt waits for its turn anywhere.
+pub fn engine(
     engine: &model::Engine,
     need: &Need,
     servers: &[Server],
-    lane: &[bool],
-    width: usize,
+    any_waits: bool,
 ) -> Option<Place> {
-    let part_ms = engine.read_ms(need.prompt, width);
-    let worth = weight(engine, need.prompt);
-    let mut parts: Vec<Part> = Vec::with_capacity(servers.len());
+    let lane = lane(servers, any_waits);
+    if need.is_tight() {
+        return short(engine, need, servers, &lane);
+    }
+    long(engine, need, servers, &lane)
+}
+
+/// Places a request with tight pauses on one server: where its first event comes soonest
+/// without making others wait.
+fn short(engine: &model::Engine, need: &Need, servers: &[Server], lane: &[bool]) -> Option<Place> {
+    let part_ms = engine.read_ms(need.prompt, 1);
+    let mut best: Option<(f64, Place)> = None;
     for (at, one) in servers.iter().enumerate() {
-        let delay_ms = delay_ms(need, one, part_ms, width);
-        let ready_ms = delay_ms + read_ms(engine, need, one, part_ms);
-        let far = if one.near { 0.0 } else { ZONE };
-        let other = if lane[at] == need.is_tight() {
-            0.0
-        } else if need.is_tight() {
-            OTHER_LANE
+        if !has_memory(engine, need, one) {
+            continue;
+        }
+        let backlog = f64::from(one.load.backlog_ms);
+        let pass_ms = engine.pass_ms(one.load.writers + 1, one.load.context + need.prompt);
+        let wait_ms = if one.load.writers > 0 {
+            pass_ms / 2.0
         } else {
-            OTHER_LANE * (part_ms / OTHER_LANE_MS).max(1.0)
+            0.0
         };
-        let cost = harm(engine, one, part_ms, delay_ms)
-            + one.failing
-            + lateness(ready_ms, need.aim) * worth
-            + far
-            + other;
-        parts.push(Part {
-            cost,
-            delay_ms,
-            ready_ms,
-            at,
-        });
+        let reading_ms = (backlog + part_ms) * one.pace.max(1.0);
+        let first_ms = wait_ms + queue_ms(engine, need, one) + reading_ms + pass_ms;
+        let worth = weight(engine, need.prompt);
+        let cost = lateness(first_ms, need.aim) * worth
+            + harm(engine, one, part_ms)
+            + beside(one)
+            + if lane[at] { 0.0 } else { OTHER_LANE * worth };
+        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+            let place = Place {
+                first: at,
+                helpers: Vec::new(),
+                first_ms,
+                part_ms,
+                delay_ms: 0.0,
+            };
+            best = Some((cost, place));
+        }
+    }
+    best.map(|(_, place)| place)
+}
+
+/// Places a long prompt on the long lane, or on all servers where there is none.
+fn long(engine: &model::Engine, need: &Need, servers: &[Server], lane: &[bool]) -> Option<Place> {
+    let is_free = |at: &usize| !lane[*at];
+    let mut order: Vec<usize> = (0..servers.len()).filter(is_free).collect();
+    if order.is_empty() {
+        order = (0..servers.len()).collect();
+    }
+    let busy_ms = |at: &usize| {
+        let one = &servers[*at];
+        f64::from(one.load.backlog_ms) + one.failing * FAILING_MS
+    };
+    order.sort_by(|one, other| busy_ms(one).total_cmp(&busy_ms(other)));
+    let alone_ms = engine.read_ms(need.prompt, 1);
+    let width = if alone_ms >= LONG_MS {
+        let busy: Vec<f64> = order.iter().map(busy_ms).collect();
+        soonest(&busy, alone_ms)
+    } else {
+        (alone_ms / PART_MS).ceil().max(1.0) as usize
+    };
+    order.truncate(width.clamp(1, MOST_WIDTH.min(order.len())));
+    let part_ms = engine.read_ms(need.prompt, order.len());
+    let write_cost = |at: &usize| {
+        let one = &servers[*at];
+        let near = if one.near { 0.0 } else { ZONE };
+        // Those who write beside each other slow each other down, and hold memory.
+        let memory = one.load.memory as f64 / engine.memory_tokens.max(1) as f64;
+        memory + crowd(one) + near + one.failing
+    };
+    // Where long prompts are read, pauses are long. A prompt that is short enough is written in
+    // the other lane, and only its own part is read there.
+    let writes_apart = alone_ms < LONG_MS && order.len() > 1 && lane.contains(&true);
+    let apart: Vec<usize> = (0..servers.len()).filter(|at| lane[*at]).collect();
+    let may_write = if writes_apart { &apart } else { &order };
+    let first = *may_write
+        .iter()
+        .filter(|at| has_memory(engine, need, &servers[**at]))
+        .min_by(|one, other| write_cost(one).total_cmp(&write_cost(other)))?;
+    if writes_apart {
+        order.pop();
+        order.push(first);
     }
-    parts.sort_by(|one, other| one.cost.total_cmp(&other.cost));
-    // The first server is the cheapest to write on; the rest are the cheapest to read on.
-    let room = |one: &Part| has_room(engine, need, &servers[one.at]);
-    let first = parts
+    let backlogs = order
         .iter()
-        .filter(|one| room(one))
-        .map(|one| (one.cost + crowd(&servers[one.at]), one.at))
-        .min_by(|one, other| one.0.total_cmp(&other.0))?
-        .1;
-    let (own, others): (Vec<Part>, Vec<Part>) = parts.into_iter().partition(|one| one.at == first);
-    let helpers = &others[..width - 1];
-    let chosen = || own.iter().chain(helpers);
-    // All parts begin together, since each goes before what waits at its server.
-    let delay_ms = chosen().map(|one| one.delay_ms).fold(0.0, f64::max);
-    let read_ms = chosen()
-        .map(|one| one.ready_ms - one.delay_ms)
-        .fold(0.0, f64::max);
+        .map(|at| f64::from(servers[*at].load.backlog_ms));
+    let backlog = backlogs.fold(0.0, f64::max);
+    let goes_before = alone_ms < LONG_MS && order.len() > 1 && part_ms < GOES_BEFORE * backlog;
+    let delay_ms = if goes_before || backlog < NEARLY_FREE_MS {
+        0.0
+    } else {
+        backlog
+    };
+    let slowest = order.iter().map(|at| servers[*at].pace).fold(1.0, f64::max);
     let load = &servers[first].load;
     let pass_ms = engine.pass_ms(load.writers + 1, load.context + need.prompt);
-    let first_ms = delay_ms + read_ms + pass_ms;
-    let beside: f64 = chosen()
-        .map(|one| one.cost - lateness(one.ready_ms, need.aim) * worth)
-        .sum();
-    let cost = lateness(first_ms, need.aim) * worth
-        + beside
-        + crowd(&servers[first])
-        + HELPER * (width - 1) as f64;
+    let first_ms = delay_ms + queue_ms(engine, need, &servers[first]) + part_ms * slowest + pass_ms;
     Some(Place {
         first,
-        helpers: helpers.iter().map(|one| one.at).collect(),
+        helpers: order.into_iter().filter(|at| *at != first).collect(),
         first_ms,
         part_ms,
         delay_ms,
-        cost,
     })
 }
 
-/// Whether a request finds a slot and memory at a server.
-fn has_room(engine: &model::Engine, need: &Need, server: &Server) -> bool {
-    let taken = server.load.readers + server.load.writers;
-    let memory = server.load.memory + need.prompt + need.answer;
-    taken < server.slots && memory <= engine.memory_tokens
+/// On how many servers a prompt is read soonest, if all begin when the last of them is free.
+/// `busy`: milliseconds until each is, ascending.
+fn soonest(busy: &[f64], alone_ms: f64) -> usize {
+    let ends = |at: usize| busy[at] + alone_ms / (at + 1) as f64;
+    let widths = 0..busy.len().min(MOST_WIDTH);
+    let best = widths.min_by(|one, other| ends(*one).total_cmp(&ends(*other)));
+    best.map_or(1, |at| at + 1)
 }
 
-/// Milliseconds that a part waits before it is sent to a server.
-fn delay_ms(need: &Need, server: &Server, part_ms: f64, width: usize) -> f64 {
-    let backlog = f64::from(server.load.backlog_ms);
-    let goes_before = width > 1 && part_ms < GOES_BEFORE * backlog;
-    if need.is_tight() || goes_before {
-        return 0.0;
-    }
-    backlog
+/// Whether a request finds memory at a server.
+fn has_memory(engine: &model::Engine, need: &Need, server: &Server) -> bool {
+    server.load.memory + need.prompt + need.answer <= engine.memory_tokens
 }
 
-/// Milliseconds from sending a part until it is read.
-fn read_ms(engine: &model::Engine, need: &Need, server: &Server, part_ms: f64) -> f64 {
+/// Milliseconds until a slot is free at a server: one of those who are served ends after its
+/// part of an answer's time.
+fn queue_ms(engine: &model::Engine, need: &Need, server: &Server) -> f64 {
     let load = &server.load;
-    let ahead = if need.is_tight() {
-        f64::from(load.backlog_ms)
-    } else {
-        0.0
-    };
-    let beside = if load.writers > 0 {
-        engine.pass_ms(load.writers, load.context)
-    } else {
-        0.0
-    };
-    (ahead + part_ms) * server.pace.max(1.0) + beside
+    let taken = load.readers + load.writers;
+    if taken < server.slots {
+        return 0.0;
+    }
+    let steps = need.answer.max(engine.usual_answer) as f64;
+    let whole_ms = steps * engine.step_ms(load.writers, load.context);
+    let over = f64::from(taken - server.slots + 1);
+    over * whole_ms / f64::from(server.slots.max(1))
 }
 
-/// What reading a part costs those that write there, or will, by pauses over their bound.
-fn harm(engine: &model::Engine, server: &Server, part_ms: f64, delay_ms: f64) -> f64 {
+/// What reading a prompt costs those that write at a server, or will, by pauses over their
+/// bound.
+fn harm(engine: &model::Engine, server: &Server, part_ms: f64) -> f64 {
     let load = &server.load;
     let others = load.writers + load.readers;
     if load.bound_ms == 0 || others == 0 {
         return 0.0;
     }
     let pass_ms = engine.pass_ms(load.writers, load.context);
-    // Whoever waits for the work there to end is not read in one pass with it.
-    let beside = if delay_ms > 0.0 {
-        0.0
-    } else {
-        f64::from(load.backlog_ms)
-    };
-    let pause_ms = (pass_ms + beside + part_ms) * server.pace.max(1.0);
+    let pause_ms = (pass_ms + f64::from(load.backlog_ms) + part_ms) * server.pace.max(1.0);
     if pause_ms <= f64::from(load.bound_ms) * PAUSE_PART {
         return 0.0;
     }
@@ -282,6 +310,12 @@
     f64::from(others) * LATE * weight(engine, usual)
 }
 
+/// Costs of a server whatever the request.
+fn beside(server: &Server) -> f64 {
+    let near = if server.near { 0.0 } else { ZONE };
+    crowd(server) + near + server.failing
+}
+
 /// What it costs to write where many do: their steps grow longer.
 fn crowd(server: &Server) -> f64 {
     let taken = f64::from(server.load.writers + server.load.readers);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -53,6 +53,13 @@
 /// Silence of heartbeats after which a server is only used if no other is there.
 const UNHEARD: Duration = Duration::from_secs(6);
 
+/// Pause before a prompt that waits for its turn looks again: a third of the shortest part that
+/// is worth a turn.
+const TURN_PAUSE: Duration = Duration::from_millis(30);
+
+/// Time beyond its own reading that a prompt must have left to be worth sending.
+const TURN_LEFT: Duration = Duration::from_millis(300);
+
 /// How long an unsafe request's connection may have been idle: none, since a server may close
 /// it unseen, and then nobody knows whether the request ran.
 const KEPT_FOR_UNSAFE: bool = false;
@@ -106,6 +113,68 @@
     }
 }
 
+/// Where a request goes, if anywhere yet.
+enum Choice {
+    /// There.
+    Now(Box<Chosen>),
+    /// It waits for its turn, or for memory.
+    Later,
+    /// No server is known.
+    Nowhere,
+}
+
+/// A long prompt's place in the line of those that wait, given back when it is dropped.
+struct Turn {
+    direct: Arc<Direct>,
+    ticket: Option<board::Ticket>,
+    rank: u32,
+}
+
+impl Turn {
+    fn new(direct: &Arc<Direct>) -> Self {
+        Self {
+            direct: Arc::clone(direct),
+            ticket: None,
+            rank: 0,
+        }
+    }
+
+    /// Whether none that waits goes before it. Who has not waited yet tries its luck.
+    fn has_come(&self, course: &Course) -> bool {
+        let now = self.direct.node.now();
+        let (Some(ticket), false) = (self.ticket, need(course).is_tight()) else {
+            return true;
+        };
+        let state = self.direct.state();
+        state.board.is_first(now, ticket, self.rank)
+    }
+
+    /// Takes its place, or keeps it with a better rank.
+    fn wait(&mut self, course: &Course) {
+        let Some(engine) = &course.engine else {
+            return;
+        };
+        let waited = course.began.elapsed();
+        self.rank = place::rank(engine, &need(course), waited, course.route.objective);
+        let is_new = self.ticket.is_none();
+        let mut state = self.direct.state();
+        self.ticket = Some(state.board.wait(self.ticket, self.rank));
+        drop(state);
+        if is_new {
+            self.direct.loads_changed.notify_one();
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        if let Some(ticket) = self.ticket {
+            self.direct.state().board.stop_waiting(ticket);
+            self.direct.loads_changed.notify_one();
+        }
+    }
+}
+
 /// A request's place on the board, given back when it is dropped.
 pub struct Seat {
     direct: Arc<Direct>,
@@ -136,8 +205,6 @@
     pub helpers: Vec<register::Record>,
     /// Milliseconds until the first event, as predicted. 0: not predicted.
     pub first_ms: f64,
-    /// Time to wait before it is sent.
-    pub delay: Duration,
     /// Its place on the board.
     pub seat: Seat,
 }
@@ -181,49 +248,34 @@
 
 impl Direct {
     /// Chooses servers for a request and takes a place on the board there.
-    pub fn choose(self: &Arc<Self>, course: &Course) -> Option<Chosen> {
+    fn choose(self: &Arc<Self>, course: &Course) -> Choice {
         let now = self.node.now();
         let mut state = self.state();
         let records = candidates(&state, now, course);
         if records.is_empty() {
-            return None;
+            return Choice::Nowhere;
+        }
+        let servers = self.servers(&mut state, now, &records);
+        let any_waits = state.board.any_waits(now);
+        let Some(place) = locate(course, &servers, any_waits) else {
+            return Choice::Later;
+        };
+        if place.delay_ms > 0.0 {
+            return Choice::Later;
         }
-        let zone = &self.node.settings().zone;
-        let view = state.board.view(now);
-        let servers: Vec<place::Server> = records
-            .iter()
-            .map(|one| {
-                let key = board::server_key(&one.id);
-                place::Server {
-                    id: one.id.clone(),
-                    key,
-                    near: one.zone == *zone,
-                    slots: one.slots,
-                    load: view.get(&key).copied().unwrap_or_default(),
-                    pace: state.healths.pace(&one.id),
-                    failing: state.healths.failing(now, &one.id),
-                }
-            })
-            .collect();
-        let place = locate(course, &servers)?;
         let prompt = course.ask.size.map_or(0, |size| size.prompt);
-        let part = |at: usize| {
-            let backlog = f64::from(servers[at].load.backlog_ms);
-            let free_ms = (place.delay_ms - backlog).max(0.0);
-            board::Part {
-                server: servers[at].key,
-                read_ms: place.part_ms,
-                work_ms: place.part_ms + free_ms,
-            }
+        let part = |at: usize| board::Part {
+            server: servers[at].key,
+            read_ms: place.part_ms,
         };
-        let begins = now + millis(place.delay_ms);
         let chosen = std::iter::once(place.first).chain(place.helpers.iter().copied());
         let claim = board::Claim {
             parts: chosen.map(part).collect(),
             prompt,
             answer: expected_answer(course),
             bound_ms: course.route.pause.map_or(0, |one| one.as_millis() as u32),
-            reads: (begins, now + millis(place.first_ms)),
+            is_long: !place.helpers.is_empty() || !need(course).is_tight(),
+            reads: (now, now + millis(place.first_ms)),
         };
         let ticket = state.board.enter(now, claim);
         drop(state);
@@ -237,11 +289,12 @@
             log_event!(self.node.log(), Event::RequestPlaced, "request" => &course.ask.id,
                 "route" => &course.route.name, "config" => course.version,
                 "server" => &records[place.first].id, "prompt" => prompt,
-                "helpers" => place.helpers.iter().map(|at| records[*at].id.as_str()).collect::<Vec<_>>().join(","), "first_ms" => place.first_ms as u64, "delay_ms" => place.delay_ms as u64,
+                "helpers" => place.helpers.iter().map(|at| records[*at].id.as_str()).collect::<Vec<_>>().join(","), "first_ms" => place.first_ms as u64,
                 "writers" => load.writers, "readers" => load.readers, "backlog_ms" => load.backlog_ms,
-                "tried" => course.past.tried, "left_ms" => course.left().as_millis() as u64);
+                "tried" => course.past.tried, "waited_ms" => course.began.elapsed().as_millis() as u64,
+                "left_ms" => course.left().as_millis() as u64);
         }
-        Some(Chosen {
+        Choice::Now(Box::new(Chosen {
             server: records[place.first].clone(),
             helpers: place
                 .helpers
@@ -249,9 +302,51 @@
                 .map(|at| records[*at].clone())
                 .collect(),
             first_ms: place.first_ms,
-            delay: millis(place.delay_ms),
             seat,
-        })
+        }))
+    }
+
+    /// What is known of servers, for placing.
+    fn servers(
+        &self,
+        state: &mut super::State,
+        now: Duration,
+        records: &[register::Record],
+    ) -> Vec<place::Server> {
+        let zone = &self.node.settings().zone;
+        let view = state.board.view(now);
+        let server = |one: &register::Record| {
+            let key = board::server_key(&one.id);
+            place::Server {
+                id: one.id.clone(),
+                key,
+                near: one.zone == *zone,
+                slots: one.slots,
+                load: view.get(&key).copied().unwrap_or_default(),
+                pace: state.healths.pace(&one.id),
+                failing: state.healths.failing(now, &one.id),
+            }
+        };
+        records.iter().map(server).collect()
+    }
+
+    /// Chooses servers for a request, once it is its turn and there is memory for it.
+    async fn choose_in_turn(self: &Arc<Self>, course: &Course) -> Option<Chosen> {
+        let mut turn = Turn::new(self);
+        loop {
+            if turn.has_come(course) {
+                match self.choose(course) {
+                    Choice::Now(chosen) => return Some(*chosen),
+                    Choice::Nowhere => return None,
+                    Choice::Later => {}
+                }
+            }
+            if !may_wait(course) {
+                return None;
+            }
+            turn.wait(course);
+            time::sleep(TURN_PAUSE).await;
+        }
     }
 
     /// Makes one attempt.
@@ -260,12 +355,10 @@
         course: &mut Course,
         after: Option<&str>,
     ) -> Result<Got, Missed> {
-        let Some(chosen) = self.choose(course) else {
+        let Some(chosen) = self.choose_in_turn(course).await else {
             course.past.tried += 1;
             return Err(verdict::End::Unsent.into());
         };
-        // Its place on the board holds the servers for it meanwhile.
-        time::sleep(chosen.delay).await;
         let server = chosen.server.clone();
         course.past.tried += 1;
         let outcome = self.attempt_at(course, chosen, after).await;
@@ -588,30 +681,48 @@
 }
 
 /// Finds the place of a request among `servers`.
-fn locate(course: &Course, servers: &[place::Server]) -> Option<place::Place> {
+fn locate(course: &Course, servers: &[place::Server], any_waits: bool) -> Option<place::Place> {
     let alone = |first: usize, first_ms: f64| place::Place {
         first,
         helpers: Vec::new(),
         first_ms,
         part_ms: first_ms,
         delay_ms: 0.0,
-        cost: 0.0,
     };
     let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
         return place::plain(servers).map(|at| alone(at, 0.0));
     };
-    let need = place::Need {
-        prompt: size.prompt,
+    let need = need(course);
+    let placed = place::engine(engine, &need, servers, any_waits);
+    // Nowhere is memory as far as known. For a short prompt the servers themselves know better.
+    let is_short = size.prompt <= engine.usual_prompt;
+    placed.or_else(|| {
+        let at = place::plain(servers).filter(|_| is_short)?;
+        Some(alone(at, engine.read_ms(size.prompt, 1)))
+    })
+}
+
+/// Whether a request that has no place yet may have one in time.
+fn may_wait(course: &Course) -> bool {
+    let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
+        return false;
+    };
+    let fits = size.prompt + expected_answer(course) <= engine.memory_tokens;
+    let read_ms = engine.read_ms(size.prompt, place::MOST_WIDTH);
+    fits && course.left() > millis(read_ms) + TURN_LEFT
+}
+
+/// What placing has to know of a request.
+fn need(course: &Course) -> place::Need {
+    place::Need {
+        prompt: course.ask.size.map_or(0, |size| size.prompt),
         answer: expected_answer(course),
         aim: course
             .route
             .objective
             .saturating_sub(course.began.elapsed()),
         bound_ms: course.route.pause.map_or(0, |one| one.as_millis() as u32),
-    };
-    let placed = place::engine(engine, &need, servers);
-    // Nowhere is room as far as known: the servers themselves know better, and queue.
-    placed.or_else(|| place::plain(servers).map(|at| alone(at, engine.read_ms(size.prompt, 1))))
+    }
 }
 
 /// Tokens that an answer is expected to have: the caller's hint, within what it allows.
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -179,8 +179,11 @@
         if !self.direct.settings.serves {
             return;
         }
-        let loads = self.direct.state().board.own_loads(now);
-        self.send_all(gossip::News::Loads(loads));
+        let (loads, waiting) = {
+            let state = self.direct.state();
+            (state.board.own_loads(now), state.board.own_waiting())
+        };
+        self.send_all(gossip::News::Loads { loads, waiting });
     }
 
     fn greet(&mut self) {
@@ -195,8 +198,8 @@
             for records in gossip::chunks(heard) {
                 self.send_all(gossip::News::Records(records));
             }
-            self.loads_due = true;
         }
+        self.loads_due = true;
         self.tell_control(now);
     }
 
@@ -345,11 +348,10 @@
                     self.direct.take_record(record, false);
                 }
             }
-            gossip::News::Loads(loads) => {
+            gossip::News::Loads { loads, waiting } => {
                 let mut state = self.direct.state();
-                state
-                    .board
-                    .told(now, from.link, from.life, datagram.seq, loads);
+                let board = &mut state.board;
+                board.told(now, from.link, from.life, datagram.seq, loads, waiting);
             }
             gossip::News::Died(request, server) => {
                 self.direct.state().suspects.died(now, request, &server);
