Write long prompts on servers where nothing else long is read

Change: a lane between the two, on whose servers long prompts are written and only their own parts are read; overdue reads count for a bounded time. Ruled out: the first event (predicted and seen agree within some percent).

--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -13,6 +13,10 @@
 /// predicted goes on for a while, and a server that looks free would draw all that comes.
 const OVERDUE_PART: f64 = 0.5;
 
+/// How long, besides its own length, a read counts as overdue. Later its answer is more likely
+/// lost than late, and nothing should wait for it.
+const OVERDUE_SLACK: Duration = Duration::from_millis(300);
+
 /// How long the word of another entry on who waits there counts; it speaks up each 0.4 s while
 /// somebody does. An entry that has died holds nobody up for longer.
 const WAIT_HOLDS: Duration = Duration::from_millis(900);
@@ -359,7 +363,8 @@
     if !run.writes {
         load.read_ms += part.read_ms.ceil() as u32;
         load.long += u32::from(claim.is_long);
-        if now > claim.reads.1 {
+        let slack = Duration::from_secs_f64(part.read_ms / 1e3) + OVERDUE_SLACK;
+        if now > claim.reads.1 && now < claim.reads.1 + slack {
             load.overdue_ms += part.read_ms.ceil() as u32;
         }
     }
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -1,10 +1,10 @@
 //! Where a request goes: the server that writes its answer, and those that help it read.
 //!
-//! Servers are kept in two lanes. In the first, requests with tight pauses write; nothing long
-//! is read there, since a read beside writers stretches their pauses. In the second, long
-//! prompts are read, each in parts on the whole lane, one after the other: that leaves no server
-//! idle and keeps every part short enough for those who write there. The border moves with what
-//! there is to do, and all entries see it at about the same place.
+//! Servers are kept in lanes, since a read beside writers stretches their pauses. In the first,
+//! requests with tight pauses write, and nothing long is read. In the last, long prompts are
+//! read, each in parts on the whole lane, one after the other, and nobody writes. Between them
+//! are some servers on which long prompts are written, each of which reads its own part only.
+//! The borders move with what there is to do, and all entries see them at about the same place.
 
 use std::time::Duration;
 
@@ -123,12 +123,27 @@
     (engine.read_ms(need.prompt, 1) / (1.0 + AGING * parts)) as u32
 }
 
-/// Which servers are kept for requests with tight pauses: the first ones in the order of their
-/// keys, as many as such requests need, and all of them while nothing long is to be read.
-pub fn lane(servers: &[Server], any_waits: bool) -> Vec<bool> {
+/// What a server is kept for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// Requests with tight pauses.
+    Tight,
+    /// Writing of long prompts.
+    Write,
+    /// Reading of long prompts.
+    Read,
+}
+
+/// Part of the servers for long prompts on which these are written.
+const WRITE_PART: f64 = 0.25;
+
+/// What each server is kept for: the first ones in the order of their keys for tight pauses, as
+/// many as such requests need, and all of them while nothing long is to be read.
+pub fn lanes(servers: &[Server], any_waits: bool) -> Vec<Lane> {
     let count = servers.len();
+    let mut lanes = vec![Lane::Tight; count];
     if count < LEAST_LANES {
-        return vec![true; count];
+        return lanes;
     }
     let tight: u32 = servers
         .iter()
@@ -139,13 +154,14 @@
     let needed = (f64::from(tight) / A_SERVER).ceil() as usize + 1;
     let most = if long { count - 1 } else { count };
     let kept = needed.clamp(2, most);
+    let write = ((count - kept) as f64 * WRITE_PART).round().max(1.0) as usize;
     let mut order: Vec<usize> = (0..count).collect();
     order.sort_by_key(|at| servers[*at].key);
-    let mut lane = vec![false; count];
-    for at in &order[..kept] {
-        lane[*at] = true;
+    for (rank, at) in order.into_iter().enumerate().skip(kept) {
+        let writes = rank < kept + write && kept + write < count;
+        lanes[at] = if writes { Lane::Write } else { Lane::Read };
     }
-    lane
+    lanes
 }
 
 /// Places a request on engines. `None`: none of them has the memory now.
@@ -157,16 +173,16 @@
     servers: &[Server],
     any_waits: bool,
 ) -> Option<Place> {
-    let lane = lane(servers, any_waits);
+    let lanes = lanes(servers, any_waits);
     if need.is_tight() {
-        return short(engine, need, servers, &lane);
+        return short(engine, need, servers, &lanes);
     }
-    long(engine, need, servers, &lane)
+    long(engine, need, servers, &lanes)
 }
 
 /// Places a request with tight pauses on one server: where its first event comes soonest
 /// without making others wait.
-fn short(engine: &model::Engine, need: &Need, servers: &[Server], lane: &[bool]) -> Option<Place> {
+fn short(engine: &model::Engine, need: &Need, servers: &[Server], lanes: &[Lane]) -> Option<Place> {
     let part_ms = engine.read_ms(need.prompt, 1);
     let mut best: Option<(f64, Place)> = None;
     for (at, one) in servers.iter().enumerate() {
@@ -186,7 +202,11 @@
         let cost = lateness(first_ms, need.aim) * worth
             + harm(engine, one, part_ms)
             + beside(one)
-            + if lane[at] { 0.0 } else { OTHER_LANE * worth };
+            + if lanes[at] == Lane::Tight {
+                0.0
+            } else {
+                OTHER_LANE * worth
+            };
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let place = Place {
                 first: at,
@@ -202,11 +222,15 @@
 }
 
 /// Places a long prompt on the long lane, or on all servers where there is none.
-fn long(engine: &model::Engine, need: &Need, servers: &[Server], lane: &[bool]) -> Option<Place> {
-    let is_free = |at: &usize| !lane[*at];
-    let mut order: Vec<usize> = (0..servers.len()).filter(is_free).collect();
+fn long(engine: &model::Engine, need: &Need, servers: &[Server], lanes: &[Lane]) -> Option<Place> {
+    let of = |lane: Lane| -> Vec<usize> {
+        let all = 0..servers.len();
+        all.filter(|at| lanes[*at] == lane).collect()
+    };
+    let all: Vec<usize> = (0..servers.len()).collect();
+    let mut order = of(Lane::Read);
     if order.is_empty() {
-        order = (0..servers.len()).collect();
+        order.clone_from(&all);
     }
     let busy_ms = |at: &usize| {
         let one = &servers[*at];
@@ -214,39 +238,33 @@
     };
     order.sort_by(|one, other| busy_ms(one).total_cmp(&busy_ms(other)));
     let alone_ms = engine.read_ms(need.prompt, 1);
-    let width = if alone_ms >= LONG_MS {
+    let is_long = alone_ms >= LONG_MS;
+    let width = if is_long {
         let busy: Vec<f64> = order.iter().map(busy_ms).collect();
         soonest(&busy, alone_ms)
     } else {
         (alone_ms / PART_MS).ceil().max(1.0) as usize
     };
-    order.truncate(width.clamp(1, MOST_WIDTH.min(order.len())));
-    let part_ms = engine.read_ms(need.prompt, order.len());
-    let write_cost = |at: &usize| {
-        let one = &servers[*at];
-        let near = if one.near { 0.0 } else { ZONE };
-        // Those who write beside each other slow each other down, and hold memory.
-        let memory = one.load.memory as f64 / engine.memory_tokens.max(1) as f64;
-        memory + crowd(one) + near + one.failing
-    };
-    // Where long prompts are read, pauses are long. A prompt that is short enough is written in
-    // the other lane, and only its own part is read there.
-    let writes_apart = alone_ms < LONG_MS && order.len() > 1 && lane.contains(&true);
-    let apart: Vec<usize> = (0..servers.len()).filter(|at| lane[*at]).collect();
-    let may_write = if writes_apart { &apart } else { &order };
-    let first = *may_write
-        .iter()
-        .filter(|at| has_memory(engine, need, &servers[**at]))
-        .min_by(|one, other| write_cost(one).total_cmp(&write_cost(other)))?;
-    if writes_apart {
-        order.pop();
+    order.truncate(width.clamp(1, (MOST_WIDTH - 1).min(order.len())));
+    let first = writer(
+        engine,
+        need,
+        servers,
+        &order,
+        &of(if is_long { Lane::Write } else { Lane::Tight }),
+    )?;
+    if !order.contains(&first) {
+        if !is_long {
+            order.pop();
+        }
         order.push(first);
     }
+    let part_ms = engine.read_ms(need.prompt, order.len());
     let backlogs = order
         .iter()
         .map(|at| f64::from(servers[*at].load.backlog_ms));
     let backlog = backlogs.fold(0.0, f64::max);
-    let goes_before = alone_ms < LONG_MS && order.len() > 1 && part_ms < GOES_BEFORE * backlog;
+    let goes_before = !is_long && order.len() > 1 && part_ms < GOES_BEFORE * backlog;
     let delay_ms = if goes_before || backlog < NEARLY_FREE_MS {
         0.0
     } else {
@@ -265,6 +283,33 @@
     })
 }
 
+/// Which server writes a long prompt's answer: one of `lane`, failing that of `readers`.
+fn writer(
+    engine: &model::Engine,
+    need: &Need,
+    servers: &[Server],
+    readers: &[usize],
+    lane: &[usize],
+) -> Option<usize> {
+    let cost = |at: &usize| {
+        let one = &servers[*at];
+        let near = if one.near { 0.0 } else { ZONE };
+        // Those who write beside each other slow each other down, and hold memory; and a part
+        // that is still read there comes first.
+        let memory = one.load.memory as f64 / engine.memory_tokens.max(1) as f64;
+        let backlog = f64::from(one.load.backlog_ms) / 1e3;
+        memory + backlog + crowd(one) + near + one.failing
+    };
+    let least = |of: &[usize]| {
+        let fits = of
+            .iter()
+            .filter(|at| has_memory(engine, need, &servers[**at]));
+        fits.min_by(|one, other| cost(one).total_cmp(&cost(other)))
+            .copied()
+    };
+    least(lane).or_else(|| least(readers))
+}
+
 /// On how many servers a prompt is read soonest, if all begin when the last of them is free.
 /// `busy`: milliseconds until each is, ascending.
 fn soonest(busy: &[f64], alone_ms: f64) -> usize {
