Read short prompts in parts too, where alone they would stretch a pause

Change: what is not long takes no turn; over 70 ms of reading it is split, written where its first event comes soonest.

--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -17,14 +17,11 @@
 /// Milliseconds of reading alone from which a prompt takes the whole lane.
 const LONG_MS: f64 = 900.0;
 
-/// Milliseconds of reading that a part of a shorter prompt is meant to have. It goes before what
-/// waits there, so it delays that by no more.
-const PART_MS: f64 = 120.0;
-
-/// A part goes before all that waits at a server, older parts among them. So a prompt that is
-/// not much shorter than what is read there waits for its turn; else the oldest would starve
-/// under load (a prompt predicted at 0.7 s took 12 s).
-const GOES_BEFORE: f64 = 0.5;
+/// Milliseconds of reading that a part of a shorter prompt is meant to have: three of them fit
+/// beside a pass into a pause of 250 ms. Parts go before all that waits at a server, older parts
+/// among them, so it delays others by no more; and so a long prompt waits for its turn instead:
+/// else the oldest would starve under load (a prompt predicted at 0.7 s took 12 s).
+const PART_MS: f64 = 70.0;
 
 /// Part of a pause's bound that a pass may fill: what is known of other entries is some
 /// milliseconds old.
@@ -116,6 +113,11 @@
     pub delay_ms: f64,
 }
 
+/// Whether a prompt is so long that it takes a turn on the whole lane of reading.
+pub fn is_long(engine: &model::Engine, need: &Need) -> bool {
+    !need.is_tight() && engine.read_ms(need.prompt, 1) >= LONG_MS
+}
+
 /// Rank of a long prompt that waits for its turn: the lowest goes first, so that the shortest
 /// waits least; who has waited for long gains on the others.
 pub fn rank(engine: &model::Engine, need: &Need, waited: Duration, aim: Duration) -> u32 {
@@ -174,89 +176,86 @@
     any_waits: bool,
 ) -> Option<Place> {
     let lanes = lanes(servers, any_waits);
-    if need.is_tight() {
-        return short(engine, need, servers, &lanes);
+    if is_long(engine, need) {
+        return long(engine, need, servers, &lanes);
     }
-    long(engine, need, servers, &lanes)
+    short(engine, need, servers, &lanes)
 }
 
-/// Places a request with tight pauses on one server: where its first event comes soonest
-/// without making others wait.
+/// Places a prompt that does not take a turn: it is written in the first lane, where its first
+/// event comes soonest without making others wait. Of one that would stretch their pauses, only
+/// a part is read there; the others go before what is read in the last lane.
 fn short(engine: &model::Engine, need: &Need, servers: &[Server], lanes: &[Lane]) -> Option<Place> {
-    let part_ms = engine.read_ms(need.prompt, 1);
-    let mut best: Option<(f64, Place)> = None;
+    let alone_ms = engine.read_ms(need.prompt, 1);
+    let mut helpers = of(lanes, Lane::Read);
+    if helpers.is_empty() {
+        helpers = (0..servers.len()).collect();
+    }
+    helpers.sort_by(|one, other| busy_ms(&servers[*one]).total_cmp(&busy_ms(&servers[*other])));
+    let width = (alone_ms / PART_MS).ceil().max(1.0) as usize;
+    let width = width.min(MOST_WIDTH).min(helpers.len().max(1));
+    let part_ms = alone_ms / width as f64;
+    let worth = weight(engine, need.prompt);
+    let mut best: Option<(f64, usize, f64)> = None;
     for (at, one) in servers.iter().enumerate() {
         if !has_memory(engine, need, one) {
             continue;
         }
-        let backlog = f64::from(one.load.backlog_ms);
-        let pass_ms = engine.pass_ms(one.load.writers + 1, one.load.context + need.prompt);
-        let wait_ms = if one.load.writers > 0 {
-            pass_ms / 2.0
-        } else {
+        let first_ms = short_ms(engine, need, one, part_ms);
+        let other = if lanes[at] == Lane::Tight {
             0.0
+        } else {
+            OTHER_LANE * worth
         };
-        let reading_ms = (backlog + part_ms) * one.pace.max(1.0);
-        let first_ms = wait_ms + queue_ms(engine, need, one) + reading_ms + pass_ms;
-        let worth = weight(engine, need.prompt);
-        let cost = lateness(first_ms, need.aim) * worth
-            + harm(engine, one, part_ms)
-            + beside(one)
-            + if lanes[at] == Lane::Tight {
-                0.0
-            } else {
-                OTHER_LANE * worth
-            };
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            let place = Place {
-                first: at,
-                helpers: Vec::new(),
-                first_ms,
-                part_ms,
-                delay_ms: 0.0,
-            };
-            best = Some((cost, place));
+        let cost =
+            lateness(first_ms, need.aim) * worth + harm(engine, one, part_ms) + beside(one) + other;
+        if best.is_none_or(|(least, _, _)| cost < least) {
+            best = Some((cost, at, first_ms));
         }
     }
-    best.map(|(_, place)| place)
+    let (_, first, first_ms) = best?;
+    helpers.retain(|at| *at != first);
+    helpers.truncate(width - 1);
+    Some(Place {
+        first,
+        helpers,
+        first_ms,
+        part_ms,
+        delay_ms: 0.0,
+    })
 }
 
-/// Places a long prompt on the long lane, or on all servers where there is none.
+/// Milliseconds until the first event of a prompt of which a server reads `part_ms`.
+fn short_ms(engine: &model::Engine, need: &Need, server: &Server, part_ms: f64) -> f64 {
+    let load = &server.load;
+    let pass_ms = engine.pass_ms(load.writers + 1, load.context + need.prompt);
+    let wait_ms = if load.writers > 0 { pass_ms / 2.0 } else { 0.0 };
+    let reading_ms = (f64::from(load.backlog_ms) + part_ms) * server.pace.max(1.0);
+    wait_ms + queue_ms(engine, need, server) + reading_ms + pass_ms
+}
+
+fn of(lanes: &[Lane], lane: Lane) -> Vec<usize> {
+    let all = 0..lanes.len();
+    all.filter(|at| lanes[*at] == lane).collect()
+}
+
+/// Milliseconds for which a server counts as busy reading.
+fn busy_ms(server: &Server) -> f64 {
+    f64::from(server.load.backlog_ms) + server.failing * FAILING_MS
+}
+
+/// Places a long prompt on the lane of reading, or on all servers where there is none, if it is
+/// free.
 fn long(engine: &model::Engine, need: &Need, servers: &[Server], lanes: &[Lane]) -> Option<Place> {
-    let of = |lane: Lane| -> Vec<usize> {
-        let all = 0..servers.len();
-        all.filter(|at| lanes[*at] == lane).collect()
-    };
-    let all: Vec<usize> = (0..servers.len()).collect();
-    let mut order = of(Lane::Read);
+    let mut order = of(lanes, Lane::Read);
     if order.is_empty() {
-        order.clone_from(&all);
+        order = (0..servers.len()).collect();
     }
-    let busy_ms = |at: &usize| {
-        let one = &servers[*at];
-        f64::from(one.load.backlog_ms) + one.failing * FAILING_MS
-    };
-    order.sort_by(|one, other| busy_ms(one).total_cmp(&busy_ms(other)));
-    let alone_ms = engine.read_ms(need.prompt, 1);
-    let is_long = alone_ms >= LONG_MS;
-    let width = if is_long {
-        let busy: Vec<f64> = order.iter().map(busy_ms).collect();
-        soonest(&busy, alone_ms)
-    } else {
-        (alone_ms / PART_MS).ceil().max(1.0) as usize
-    };
-    order.truncate(width.clamp(1, (MOST_WIDTH - 1).min(order.len())));
-    let first = writer(
-        engine,
-        need,
-        servers,
-        &order,
-        &of(if is_long { Lane::Write } else { Lane::Tight }),
-    )?;
+    order.sort_by(|one, other| busy_ms(&servers[*one]).total_cmp(&busy_ms(&servers[*other])));
+    let busy: Vec<f64> = order.iter().map(|at| busy_ms(&servers[*at])).collect();
+    order.truncate(soonest(&busy, engine.read_ms(need.prompt, 1)));
+    let first = writer(engine, need, servers, &order, &of(lanes, Lane::Write))?;
     if !order.contains(&first) {
-        if !is_long {
-            order.pop();
-        }
         order.push(first);
     }
     let part_ms = engine.read_ms(need.prompt, order.len());
@@ -264,8 +263,7 @@
         .iter()
         .map(|at| f64::from(servers[*at].load.backlog_ms));
     let backlog = backlogs.fold(0.0, f64::max);
-    let goes_before = !is_long && order.len() > 1 && part_ms < GOES_BEFORE * backlog;
-    let delay_ms = if goes_before || backlog < NEARLY_FREE_MS {
+    let delay_ms = if backlog < NEARLY_FREE_MS {
         0.0
     } else {
         backlog
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -142,7 +142,10 @@
     /// Whether none that waits goes before it. Who has not waited yet tries its luck.
     fn has_come(&self, course: &Course) -> bool {
         let now = self.direct.node.now();
-        let (Some(ticket), false) = (self.ticket, need(course).is_tight()) else {
+        let is_long = course
+            .engine
+            .is_some_and(|one| place::is_long(&one, &need(course)));
+        let (Some(ticket), true) = (self.ticket, is_long) else {
             return true;
         };
         let state = self.direct.state();
@@ -274,7 +277,9 @@
             prompt,
             answer: expected_answer(course),
             bound_ms: course.route.pause.map_or(0, |one| one.as_millis() as u32),
-            is_long: !place.helpers.is_empty() || !need(course).is_tight(),
+            is_long: course
+                .engine
+                .is_some_and(|one| place::is_long(&one, &need(course))),
             reads: (now, now + millis(place.first_ms)),
         };
         let ticket = state.board.enter(now, claim);
