--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -79,6 +79,8 @@
     pub server: u64,
     /// Milliseconds of reading.
     pub read_ms: f64,
+    /// Tokens of memory that it takes there.
+    pub memory: u64,
 }
 
 /// A request's claim on servers.
@@ -368,10 +370,10 @@
             load.overdue_ms += part.read_ms.ceil() as u32;
         }
     }
+    load.memory += part.memory;
     if !is_first {
         return;
     }
-    load.memory += claim.prompt + claim.answer;
     if run.writes {
         load.writers += 1;
         load.context += claim.prompt + claim.answer / 2;
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -105,6 +105,8 @@
     pub first: usize,
     /// Indexes of those that help it read.
     pub helpers: Vec<usize>,
+    /// Tokens of memory to set aside at each of those, in their order.
+    pub aside: Vec<u64>,
     /// Milliseconds until its first event, as predicted.
     pub first_ms: f64,
     /// Milliseconds that each of them reads.
@@ -218,6 +220,7 @@
     helpers.truncate(width - 1);
     Some(Place {
         first,
+        aside: vec![0; helpers.len()],
         helpers,
         first_ms,
         part_ms,
@@ -254,10 +257,13 @@
     order.sort_by(|one, other| busy_ms(&servers[*one]).total_cmp(&busy_ms(&servers[*other])));
     let busy: Vec<f64> = order.iter().map(|at| busy_ms(&servers[*at])).collect();
     order.truncate(soonest(&busy, engine.read_ms(need.prompt, 1)));
-    let first = writer(engine, need, servers, &order, &of(lanes, Lane::Write))?;
-    if !order.contains(&first) {
-        order.push(first);
-    }
+    let write = of(lanes, Lane::Write);
+    let first = writer(engine, need, servers, &order, &write)?;
+    order.retain(|at| *at != first);
+    order.truncate(MOST_WIDTH - 1);
+    let helpers = order.clone();
+    order.push(first);
+    let aside = set_aside(engine, need, servers, first, &helpers)?;
     let part_ms = engine.read_ms(need.prompt, order.len());
     let backlogs = order
         .iter()
@@ -274,7 +280,8 @@
     let first_ms = delay_ms + queue_ms(engine, need, &servers[first]) + part_ms * slowest + pass_ms;
     Some(Place {
         first,
-        helpers: order.into_iter().filter(|at| *at != first).collect(),
+        helpers,
+        aside,
         first_ms,
         part_ms,
         delay_ms,
@@ -298,16 +305,57 @@
         let backlog = f64::from(one.load.backlog_ms) / 1e3;
         memory + backlog + crowd(one) + near + one.failing
     };
+    let is_large = need.prompt + need.answer > engine.memory_tokens;
     let least = |of: &[usize]| {
-        let fits = of
-            .iter()
-            .filter(|at| has_memory(engine, need, &servers[**at]));
+        let fits = of.iter().filter(|at| {
+            let one = &servers[**at];
+            let free = free_memory(engine, one);
+            if is_large {
+                free > engine.memory_tokens / 2
+            } else {
+                need.prompt + need.answer <= free
+            }
+        });
         fits.min_by(|one, other| cost(one).total_cmp(&cost(other)))
             .copied()
     };
     least(lane).or_else(|| least(readers))
 }
 
+/// Tokens to set aside at each helper for what a prompt needs beyond the first server's memory.
+/// `None`: they have not that much now.
+fn set_aside(
+    engine: &model::Engine,
+    need: &Need,
+    servers: &[Server],
+    first: usize,
+    helpers: &[usize],
+) -> Option<Vec<u64>> {
+    let mut aside = vec![0; helpers.len()];
+    let own = free_memory(engine, &servers[first]);
+    let mut rest = (need.prompt + need.answer).saturating_sub(own);
+    if rest == 0 {
+        return Some(aside);
+    }
+    // What the prompt leaves of the first server's memory is not exact: some tokens more.
+    rest += own / 10;
+    let mut order: Vec<usize> = (0..helpers.len()).collect();
+    order.sort_by_key(|at| std::cmp::Reverse(free_memory(engine, &servers[helpers[*at]])));
+    for at in order {
+        let free = free_memory(engine, &servers[helpers[at]]);
+        aside[at] = (free - free / 10).min(rest);
+        rest -= aside[at];
+        if rest == 0 {
+            return Some(aside);
+        }
+    }
+    None
+}
+
+fn free_memory(engine: &model::Engine, server: &Server) -> u64 {
+    engine.memory_tokens.saturating_sub(server.load.memory)
+}
+
 /// On how many servers a prompt is read soonest, if all begin when the last of them is free.
 /// `busy`: milliseconds until each is, ascending.
 fn soonest(busy: &[f64], alone_ms: f64) -> usize {
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -33,6 +33,7 @@
 pub mod pool;
 pub mod publish;
 pub mod relay;
+pub mod reserve;
 pub mod stream;
 
 /// Settings of an entry without sidecars.
@@ -46,8 +47,8 @@
     pub votes: bool,
     /// Whether it takes callers' requests.
     pub serves: bool,
-    /// Longest time for which memory can be set aside at a backend server.
-    pub hold_most: Duration,
+    /// Time for which memory at a backend server is set aside without renewal.
+    pub hold: Duration,
 }
 
 /// What requests share.
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -16,6 +16,7 @@
 use super::Direct;
 use super::dialect;
 use super::pool;
+use super::reserve;
 use super::stream;
 use crate::direct::board;
 use crate::direct::catalog;
@@ -206,6 +207,8 @@
     pub server: register::Record,
     /// Servers that help it read.
     pub helpers: Vec<register::Record>,
+    /// Tokens of memory to set aside at each of those.
+    pub aside: Vec<u64>,
     /// Milliseconds until the first event, as predicted. 0: not predicted.
     pub first_ms: f64,
     /// Its place on the board.
@@ -267,11 +270,19 @@
             return Choice::Later;
         }
         let prompt = course.ask.size.map_or(0, |size| size.prompt);
-        let part = |at: usize| board::Part {
+        let part = |(at, memory): (usize, u64)| board::Part {
             server: servers[at].key,
             read_ms: place.part_ms,
+            memory,
         };
-        let chosen = std::iter::once(place.first).chain(place.helpers.iter().copied());
+        let aside: u64 = place.aside.iter().sum();
+        let own = (prompt + expected_answer(course)).saturating_sub(aside);
+        let helpers = place
+            .helpers
+            .iter()
+            .copied()
+            .zip(place.aside.iter().copied());
+        let chosen = std::iter::once((place.first, own)).chain(helpers);
         let claim = board::Claim {
             parts: chosen.map(part).collect(),
             prompt,
@@ -293,7 +304,7 @@
         if self.lines.allow(Event::RequestPlaced, now) {
             log_event!(self.node.log(), Event::RequestPlaced, "request" => &course.ask.id,
                 "route" => &course.route.name, "config" => course.version,
-                "server" => &records[place.first].id, "prompt" => prompt,
+                "server" => &records[place.first].id, "prompt" => prompt, "aside" => place.aside.iter().sum::<u64>(),
                 "helpers" => place.helpers.iter().map(|at| records[*at].id.as_str()).collect::<Vec<_>>().join(","), "first_ms" => place.first_ms as u64,
                 "writers" => load.writers, "readers" => load.readers, "backlog_ms" => load.backlog_ms,
                 "tried" => course.past.tried, "waited_ms" => course.began.elapsed().as_millis() as u64,
@@ -306,6 +317,7 @@
                 .iter()
                 .map(|at| records[*at].clone())
                 .collect(),
+            aside: place.aside,
             first_ms: place.first_ms,
             seat,
         }))
@@ -384,10 +396,11 @@
         after: Option<&str>,
     ) -> Result<Got, Missed> {
         let server = chosen.server.clone();
+        let memory = self.reserve(course, &chosen).await?;
         let kept = course.route.repeatable() || KEPT_FOR_UNSAFE;
         let conn = self.pool.conn(&server.id, server.addr, kept).await;
         let mut conn = conn.map_err(|_| verdict::End::Unsent)?;
-        let request = self.request(course, &chosen, after);
+        let request = self.request(course, &chosen, memory.as_ref(), after);
         let wait = Wait::new(course, chosen.first_ms);
         let sent = {
             let sending = conn.send(request);
@@ -409,14 +422,41 @@
             }
         };
         let (head, body) = response.into_parts();
-        self.take_answer(course, chosen, conn, head, body, wait)
+        self.take_answer(course, chosen, (conn, memory), head, body, wait)
             .await
     }
 
+    /// Sets aside what a prompt needs of its helpers' memory.
+    async fn reserve(
+        self: &Arc<Self>,
+        course: &Course,
+        chosen: &Chosen,
+    ) -> Result<Option<reserve::Reservation>, verdict::End> {
+        let wanted = chosen.helpers.iter().zip(&chosen.aside);
+        let wanted = wanted.filter(|(_, tokens)| **tokens > 0);
+        let wanted: Vec<reserve::Wanted> = wanted
+            .map(|(server, tokens)| reserve::Wanted {
+                server: server.clone(),
+                tokens: *tokens,
+            })
+            .collect();
+        if wanted.is_empty() {
+            return Ok(None);
+        }
+        let name = format!("{}-{}", course.ask.id, course.past.tried);
+        let memory = reserve::Reservation::take(self, &name, wanted).await;
+        // Without it nothing was sent: another may have taken the memory meanwhile.
+        memory.map(Some).ok_or(verdict::End::NotRun {
+            at_fault: None,
+            displaced: false,
+        })
+    }
+
     fn request(
         &self,
         course: &Course,
         chosen: &Chosen,
+        memory: Option<&reserve::Reservation>,
         after: Option<&str>,
     ) -> http::Request<Full<Bytes>> {
         let helpers: Vec<dialect::Helper> = chosen
@@ -424,7 +464,9 @@
             .iter()
             .map(|one| dialect::Helper {
                 addr: one.addr,
-                ticket: None,
+                ticket: memory
+                    .and_then(|memory| memory.ticket(one.addr))
+                    .map(str::to_owned),
             })
             .collect();
         let attempt = dialect::Attempt {
@@ -447,7 +489,7 @@
         self: &Arc<Self>,
         course: &mut Course,
         chosen: Chosen,
-        conn: pool::Conn,
+        means: (pool::Conn, Option<reserve::Reservation>),
         head: response::Parts,
         body: body::Incoming,
         wait: Wait,
@@ -470,7 +512,7 @@
             return Err(verdict::End::Broken.into());
         }
         let is_stream = course.route.kind == catalog::Kind::Stream && success;
-        let mut reader = stream::Reader::new(self, chosen, conn, body, &answer);
+        let mut reader = stream::Reader::new(self, chosen, means, body, &answer);
         if !is_stream {
             let whole = reader.collect(MOST_WHOLE, course.left()).await;
             let body = whole.ok_or(verdict::End::Broken)?;
@@ -690,6 +732,7 @@
     let alone = |first: usize, first_ms: f64| place::Place {
         first,
         helpers: Vec::new(),
+        aside: Vec::new(),
         first_ms,
         part_ms: first_ms,
         delay_ms: 0.0,
@@ -712,7 +755,8 @@
     let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
         return false;
     };
-    let fits = size.prompt + expected_answer(course) <= engine.memory_tokens;
+    let most = engine.memory_tokens * place::MOST_WIDTH as u64 / 2;
+    let fits = size.prompt + expected_answer(course) <= most;
     let read_ms = engine.read_ms(size.prompt, place::MOST_WIDTH);
     fits && course.left() > millis(read_ms) + TURN_LEFT
 }
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -56,7 +56,7 @@
 const GATHER: Duration = Duration::from_millis(700);
 
 /// Time for another process to send a document.
-const PULL_TIMEOUT: Duration = Duration::from_millis(700);
+const PULL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Largest datagram taken.
 const MAX_DATAGRAM: usize = 64 << 10;
@@ -415,7 +415,7 @@
     // Without an answer the next datagram of a process that is ahead starts another try.
     if let Ok(rpc::Answer::Document(Some(document))) = node.link(from).ask(&ask, PULL_TIMEOUT).await
     {
-        node.documents().install(document);
+        node.documents().install_packed(&document);
     }
 }
 
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -13,6 +13,7 @@
 use super::attempt;
 use super::dialect;
 use super::pool;
+use super::reserve;
 use crate::direct::register;
 use crate::direct::sse;
 use crate::direct::verdict;
@@ -47,6 +48,8 @@
     pub first_ms: f64,
     seat: attempt::Seat,
     conn: Option<pool::Conn>,
+    /// Memory set aside for it, released with this.
+    _memory: Option<reserve::Reservation>,
     body: body::Incoming,
     splitter: sse::Splitter,
     keep: Option<Duration>,
@@ -55,11 +58,11 @@
 }
 
 impl Reader {
-    /// Reads `body`, which came over `conn`.
+    /// Reads `body`, which came over the connection held, with memory set aside for it.
     pub fn new(
         direct: &Arc<Direct>,
         chosen: attempt::Chosen,
-        conn: pool::Conn,
+        held: (pool::Conn, Option<reserve::Reservation>),
         body: body::Incoming,
         answer: &dialect::Answer,
     ) -> Self {
@@ -68,7 +71,8 @@
             server: chosen.server,
             first_ms: chosen.first_ms,
             seat: chosen.seat,
-            conn: Some(conn),
+            conn: Some(held.0),
+            _memory: held.1,
             body,
             splitter: sse::Splitter::default(),
             keep: answer.keep,
