Trial: ask each engine for its report by one entry, share its pace; relay loads between zones

Change: reports by rendezvous, paces spread; loads as changes, through one process a zone; documents packed in the log; equal servers in an order of the request's own.

--- a/src/control/log.rs
+++ b/src/control/log.rs
@@ -113,7 +113,7 @@
             agree::Command::Configure(change) => change.files.iter().map(|f| f.text.len()).sum(),
             agree::Command::Crash { running, .. } => running.len() * 16,
             agree::Command::Claim { key, .. } => key.len(),
-            agree::Command::Publish(document) => document.text.len(),
+            agree::Command::Publish(document) => document.packed.len(),
             _ => 0,
         };
         PLAIN_BYTES + text
--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -106,8 +106,19 @@
     writes: bool,
 }
 
+/// What another entry says that it has running.
+#[derive(Clone, Debug, Default)]
+pub struct Told {
+    /// Whether it is all; else only what changed.
+    pub whole: bool,
+    /// By server.
+    pub loads: Vec<Load>,
+    /// Ranks of the long prompts that wait there for their turn.
+    pub waiting: Vec<u32>,
+}
+
 #[derive(Debug)]
-struct Told {
+struct Other {
     life: id::Incarnation,
     seq: u64,
     at: Duration,
@@ -151,7 +162,7 @@
 pub struct Board {
     next: u64,
     own: HashMap<Ticket, Run>,
-    told: HashMap<SocketAddr, Told>,
+    told: HashMap<SocketAddr, Other>,
     backlogs: HashMap<u64, Backlog>,
     given: HashMap<u64, Given>,
     /// Long prompts of this entry that wait for their turn: their ranks.
@@ -260,19 +271,27 @@
         from: SocketAddr,
         life: id::Incarnation,
         seq: u64,
-        loads: Vec<Load>,
-        waiting: Vec<u32>,
+        news: Told,
     ) {
+        let Told {
+            whole,
+            loads,
+            waiting,
+        } = news;
         if let Some(told) = self.told.get(&from)
             && told.life == life
             && told.seq >= seq
         {
             return;
         }
-        let mut before = match self.told.remove(&from) {
-            Some(told) if told.life == life => Some(told.given),
-            _ => None,
+        let before = self.told.remove(&from).filter(|one| one.life == life);
+        let (mut before, mut held) = match before {
+            Some(one) => (Some(one.given), one.loads),
+            None => (None, HashMap::new()),
         };
+        if whole {
+            held.clear();
+        }
         for load in &loads {
             let known = before
                 .as_mut()
@@ -293,12 +312,12 @@
             let given = loads.iter().map(|one| (one.server, one.given_ms));
             given.collect()
         });
-        let loads = loads.into_iter().map(|one| (one.server, one)).collect();
-        let told = Told {
+        held.extend(loads.into_iter().map(|one| (one.server, one)));
+        let told = Other {
             life,
             seq,
             at: now,
-            loads,
+            loads: held,
             given,
             waiting,
         };
--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -40,6 +40,8 @@
         pub from: Peer,
         /// Counts up within the sender's life, so that an older load is known as such.
         pub seq: u64,
+        /// Whether the one who gets it passes it on to the others of its zone.
+        pub relay: bool,
         /// What it says.
         pub news: News,
     }
@@ -52,11 +54,15 @@
         Records(Vec<register::Record>),
         /// All that the sender has running.
         Loads {
+            /// Whether it is all; else only what changed since the last.
+            whole: bool,
             /// By backend server.
             loads: Vec<board::Load>,
             /// Ranks of the long prompts that wait for their turn, lowest first.
             waiting: Vec<u32>,
         },
+        /// Paces of servers, in percent of their time model; 0: silent.
+        Paces(Vec<(u64, u16)>),
         /// A backend server died while it ran this request.
         Died(id::Fingerprint, String),
     }
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -36,18 +36,22 @@
 /// Milliseconds for which a server all of whose answers failed lately counts as busy.
 const FAILING_MS: f64 = 10_000.0;
 
+/// Milliseconds for which a server that is twice as slow as its model counts as busy: others are
+/// preferred while they have less to do.
+const SLOW_MS: f64 = 2_000.0;
+
 /// Cost of another zone: decides between equals.
 const ZONE: f64 = 0.003;
 
 /// Cost of writing with a tight pause on a server of the other lane.
 const OTHER_LANE: f64 = 0.35;
 
-/// Requests with tight pauses that one server of their lane is meant for. Of 16 slots the rest
-/// are room for bursts.
-const A_SERVER: f64 = 12.0;
+/// Part of a server's slots that requests with tight pauses are meant to take in their lane; the
+/// rest is room for bursts.
+const TAKEN_PART: f64 = 0.7;
 
-/// How much a long prompt gains by waiting: after its aim it ranks as one a third as long.
-const AGING: f64 = 2.0;
+/// How much a long prompt gains by waiting: after its aim it ranks as one a fifth as long.
+const AGING: f64 = 4.0;
 
 /// Milliseconds of reading left at a server at which the next prompt is sent there: the way to
 /// it takes as long.
@@ -70,6 +74,9 @@
     pub aim: Duration,
     /// Longest pause between its events in milliseconds. 0: none.
     pub bound_ms: u32,
+    /// Drawn for each request, so that entries that choose at the same moment among equal servers
+    /// do not all choose the same.
+    pub draw: u64,
 }
 
 impl Need {
@@ -155,7 +162,9 @@
         .map(|one| one.load.readers + one.load.writers)
         .sum();
     let long = any_waits || servers.iter().any(|one| one.load.long > 0);
-    let needed = (f64::from(tight) / A_SERVER).ceil() as usize + 1;
+    let slots: u32 = servers.iter().map(|one| one.slots).sum();
+    let a_server = f64::from(slots) / count as f64 * TAKEN_PART;
+    let needed = (f64::from(tight) / a_server.max(1.0)).ceil() as usize + 1;
     let most = if long { count - 1 } else { count };
     let kept = needed.clamp(2, most);
     let write = ((count - kept) as f64 * WRITE_PART).round().max(1.0) as usize;
@@ -193,7 +202,7 @@
     if helpers.is_empty() {
         helpers = (0..servers.len()).collect();
     }
-    helpers.sort_by(|one, other| busy_ms(&servers[*one]).total_cmp(&busy_ms(&servers[*other])));
+    sort_by_busy(need, servers, &mut helpers);
     let width = (alone_ms / PART_MS).ceil().max(1.0) as usize;
     let width = width.min(MOST_WIDTH).min(helpers.len().max(1));
     let part_ms = alone_ms / width as f64;
@@ -233,8 +242,8 @@
     let load = &server.load;
     let pass_ms = engine.pass_ms(load.writers + 1, load.context + need.prompt);
     let wait_ms = if load.writers > 0 { pass_ms / 2.0 } else { 0.0 };
-    let reading_ms = (f64::from(load.backlog_ms) + part_ms) * server.pace.max(1.0);
-    wait_ms + queue_ms(engine, need, server) + reading_ms + pass_ms
+    let reading_ms = f64::from(load.backlog_ms) + part_ms;
+    queue_ms(engine, need, server) + (wait_ms + reading_ms + pass_ms) * server.pace.max(1.0)
 }
 
 fn of(lanes: &[Lane], lane: Lane) -> Vec<usize> {
@@ -244,7 +253,19 @@
 
 /// Milliseconds for which a server counts as busy reading.
 fn busy_ms(server: &Server) -> f64 {
-    f64::from(server.load.backlog_ms) + server.failing * FAILING_MS
+    let slow = (server.pace - 1.0).max(0.0) * SLOW_MS;
+    f64::from(server.load.backlog_ms) + server.failing * FAILING_MS + slow
+}
+
+/// Brings servers into the order in which they are free, equal ones in an order of the request's
+/// own.
+fn sort_by_busy(need: &Need, servers: &[Server], order: &mut [usize]) {
+    let mix = |at: usize| (servers[at].key ^ need.draw).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    order.sort_by(|one, other| {
+        let (one, other) = (*one, *other);
+        let busy = busy_ms(&servers[one]).total_cmp(&busy_ms(&servers[other]));
+        busy.then(mix(one).cmp(&mix(other)))
+    });
 }
 
 /// Places a long prompt on the lane of reading, or on all servers where there is none, if it is
@@ -254,7 +275,7 @@
     if order.is_empty() {
         order = (0..servers.len()).collect();
     }
-    order.sort_by(|one, other| busy_ms(&servers[*one]).total_cmp(&busy_ms(&servers[*other])));
+    sort_by_busy(need, servers, &mut order);
     let busy: Vec<f64> = order.iter().map(|at| busy_ms(&servers[*at])).collect();
     order.truncate(soonest(&busy, engine.read_ms(need.prompt, 1)));
     let write = of(lanes, Lane::Write);
@@ -303,7 +324,7 @@
         // that is still read there comes first.
         let memory = one.load.memory as f64 / engine.memory_tokens.max(1) as f64;
         let backlog = f64::from(one.load.backlog_ms) / 1e3;
-        memory + backlog + crowd(one) + near + one.failing
+        memory + backlog + crowd(one) + near + one.failing + (one.pace - 1.0).max(0.0)
     };
     let is_large = need.prompt + need.answer > engine.memory_tokens;
     let least = |of: &[usize]| {
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -11,6 +11,7 @@
 use tokio::sync::Notify;
 use tokio::time;
 
+use super::document;
 use super::event::Event;
 use super::node;
 use crate::direct::board;
@@ -24,6 +25,7 @@
 use crate::wire::id;
 
 pub mod attempt;
+pub mod checkup;
 pub mod count;
 pub mod dialect;
 pub mod door;
@@ -197,12 +199,20 @@
 
     fn install(&self, document: &agree::Document, read: Read) {
         let version = document.version;
-        match read(&document.text) {
+        let text = match document::unpack(&document.packed) {
+            Ok(text) => text,
+            Err(err) => {
+                log_event!(self.node.log(), Event::DocumentUnread, "version" => version,
+                    "finding" => err.to_string());
+                return;
+            }
+        };
+        match read(&text) {
             Ok(catalog) => {
                 self.catalog.store(Some(Arc::new(catalog)));
                 self.gained.notify_waiters();
                 log_event!(self.node.log(), Event::DocumentInForce, "version" => version,
-                    "bytes" => document.text.len());
+                    "bytes" => text.len());
             }
             Err(findings) => {
                 let finding = findings.first().map(ToString::to_string);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -771,6 +771,7 @@
             .objective
             .saturating_sub(course.began.elapsed()),
         bound_ms: course.route.pause.map_or(0, |one| one.as_millis() as u32),
+        draw: board::server_key(&course.ask.id),
     }
 }
 
--- /dev/null
+++ b/src/edge/direct/checkup.rs
@@ -0,0 +1,101 @@
+//! Asks engines how they are, each by one entry, and tells the others.
+//!
+//! A server that has turned slow shows it in its report only. A prompt that is read in parts is
+//! as slow as the slowest of its servers, so one such server slows all long prompts.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time;
+
+use super::Direct;
+use crate::direct::board;
+use crate::direct::gossip;
+use crate::direct::register;
+
+/// Time between two reports of a server. A server that turns slow, four times or more, harms the
+/// requests of this time.
+const PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Pace told of a server that does not answer.
+const SILENT: u16 = 0;
+
+/// Asks the servers that fall to this entry, until the process ends.
+pub async fn run(direct: Arc<Direct>) {
+    let mut period = time::interval(PERIOD);
+    period.set_missed_tick_behavior(time::MissedTickBehavior::Delay);
+    loop {
+        period.tick().await;
+        for server in own_servers(&direct) {
+            tokio::spawn(check(Arc::clone(&direct), server));
+        }
+    }
+}
+
+/// Servers that this entry asks: each server falls to the entry that ranks highest for it.
+fn own_servers(direct: &Direct) -> Vec<register::Record> {
+    let Some(catalog) = direct.catalog() else {
+        return Vec::new();
+    };
+    let me = direct.node.settings().link;
+    let peers = direct.peers();
+    let mut entries: Vec<SocketAddr> = peers
+        .iter()
+        .filter(|(_, peer)| peer.serves)
+        .map(|(addr, _)| *addr)
+        .collect();
+    entries.push(me);
+    let now = direct.node.now();
+    let state = direct.state();
+    let engines = catalog.services().iter().filter(|one| one.engine.is_some());
+    let servers = engines.flat_map(|one| state.register.ready(now, &one.name));
+    let own = servers.filter(|(one, _)| {
+        let ranks = entries.iter().map(|addr| (rank(&one.id, *addr), *addr));
+        ranks.max().is_some_and(|(_, addr)| addr == me)
+    });
+    own.map(|(one, _)| one.clone()).collect()
+}
+
+fn rank(server: &str, entry: SocketAddr) -> u64 {
+    board::server_key(&format!("{server} {entry}"))
+}
+
+async fn check(direct: Arc<Direct>, server: register::Record) {
+    let before = direct.state().healths.pace(&server.id);
+    let report = direct.probe(&server).await;
+    let pace = match report {
+        Some(report) => (report.pace.max(1.0) * 100.0) as u16,
+        None => SILENT,
+    };
+    if pace == SILENT {
+        direct.missed(&server.id, "does not report");
+    }
+    let same = (f64::from(pace) / 100.0 - before).abs() < 0.05;
+    if !same {
+        let key = board::server_key(&server.id);
+        direct.tell(gossip::News::Paces(vec![(key, pace)]));
+    }
+}
+
+impl Direct {
+    /// Takes what another entry found out about servers.
+    pub(super) fn take_paces(&self, paces: &[(u64, u16)]) {
+        let ids: Vec<(String, u16)> = {
+            let state = self.state();
+            let known = state.register.all();
+            let known = known.map(|one| (board::server_key(&one.id), &one.id));
+            let told = |key: u64| paces.iter().find(|(one, _)| *one == key);
+            known
+                .filter_map(|(key, id)| told(key).map(|(_, pace)| (id.clone(), *pace)))
+                .collect()
+        };
+        for (id, pace) in ids {
+            if pace == SILENT {
+                self.missed(&id, "does not report to another entry");
+            } else {
+                self.state().healths.paced(&id, f64::from(pace) / 100.0);
+            }
+        }
+    }
+}
--- a/src/edge/direct/host.rs
+++ b/src/edge/direct/host.rs
@@ -26,6 +26,7 @@
 use super::Direct;
 use super::Read;
 use super::Settings;
+use super::checkup;
 use super::dialect;
 use super::door;
 use super::mesh;
@@ -174,6 +175,9 @@
     });
     tokio::spawn(mesh::run(Arc::clone(&direct), datagrams));
     tokio::spawn(Arc::clone(&direct).follow_documents(parts.read));
+    if setup.direct.serves {
+        tokio::spawn(checkup::run(Arc::clone(&direct)));
+    }
     log_event!(log, Event::Started, "link" => link, "front" => setup.front.map(|a| a.to_string()),
         "votes" => setup.direct.votes, "first_start" => setup.direct.first_start,
         "seeds" => format!("{:?}", setup.node.seeds));
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 
 use super::Direct;
+use crate::direct::board;
 use crate::direct::gossip;
 use crate::edge::event::Event;
 use crate::edge::node;
@@ -28,9 +29,10 @@
 /// How long a record heard here is passed on: longer than two heartbeats are apart.
 const PASS_ON: Duration = Duration::from_millis(3_000);
 
-/// Least time between two datagrams about what runs here. Placing on a view that old costs
-/// less than a pass of an engine.
+/// Least time between two words on what runs here, and how it grows with the processes that hear
+/// it. Placing on a view that old costs less than a pass of an engine.
 const LOADS_PAUSE: Duration = Duration::from_millis(8);
+const LOADS_PAUSE_EACH: Duration = Duration::from_micros(500);
 
 /// When news is said again after it came, since datagrams get lost: at a loss of one in twenty
 /// all five are lost once in three million times.
@@ -88,6 +90,10 @@
     repeats: Vec<Repeat>,
     loads_sent: Duration,
     loads_due: bool,
+    /// Whether the next word on loads is of all, not only of what changed.
+    loads_whole: bool,
+    /// What was last told of loads.
+    told: HashMap<u64, board::Load>,
     pulling: Arc<AtomicBool>,
 }
 
@@ -102,6 +108,8 @@
         repeats: Vec::new(),
         loads_sent: Duration::ZERO,
         loads_due: false,
+        loads_whole: true,
+        told: HashMap::new(),
         pulling: Arc::default(),
     };
     mesh.run().await;
@@ -136,14 +144,19 @@
     fn next_due(&self) -> Duration {
         let now = self.direct.node.now();
         let repeats = self.repeats.iter().map(|one| one.since + REPEATS[one.next]);
-        let loads = self.loads_due.then_some(self.loads_sent + LOADS_PAUSE);
+        let loads = self.loads_due.then(|| self.loads_sent + self.loads_pause());
         let due = repeats.chain(loads).min();
         due.map_or(HELLO, |due| due.saturating_sub(now))
     }
 
+    fn loads_pause(&self) -> Duration {
+        let peers = self.direct.peers.lock().expect("peers lock").len();
+        LOADS_PAUSE + LOADS_PAUSE_EACH * peers as u32
+    }
+
     fn send_due(&mut self) {
         let now = self.direct.node.now();
-        if self.loads_due && now >= self.loads_sent + LOADS_PAUSE {
+        if self.loads_due && now >= self.loads_sent + self.loads_pause() {
             self.send_loads(now);
         }
         let mut due = Vec::new();
@@ -179,11 +192,91 @@
         if !self.direct.settings.serves {
             return;
         }
-        let (loads, waiting) = {
+        let (all, waiting) = {
             let state = self.direct.state();
             (state.board.own_loads(now), state.board.own_waiting())
         };
-        self.send_all(gossip::News::Loads { loads, waiting });
+        let all: HashMap<u64, board::Load> = all.into_iter().map(|one| (one.server, one)).collect();
+        let whole = std::mem::take(&mut self.loads_whole);
+        let changed = all
+            .values()
+            .filter(|one| self.told.get(&one.server) != Some(*one));
+        let mut loads: Vec<board::Load> = changed.copied().collect();
+        if whole {
+            loads = all.values().copied().collect();
+        } else {
+            let gone = self.told.keys().filter(|one| !all.contains_key(*one));
+            loads.extend(gone.map(|server| board::Load {
+                server: *server,
+                ..board::Load::default()
+            }));
+        }
+        self.told = all;
+        let news = gossip::News::Loads {
+            whole,
+            loads,
+            waiting,
+        };
+        self.spread(news);
+    }
+
+    /// Sends to all: to those of its own zone, and in each other zone to one that passes it on.
+    /// Bytes between zones are dear, and with six processes a zone this sends a sixth of them.
+    fn spread(&mut self, news: gossip::News) {
+        let own = self.direct.node.settings().zone.clone();
+        let mut near = Vec::new();
+        let mut zones: BTreeMap<String, Vec<SocketAddr>> = BTreeMap::new();
+        for (addr, peer) in self.direct.peers() {
+            if peer.zone == own {
+                near.push(addr);
+            } else {
+                zones.entry(peer.zone).or_default().push(addr);
+            }
+        }
+        let mut relays = Vec::new();
+        for mut addrs in zones.into_values() {
+            addrs.sort_unstable();
+            if addrs.len() > 1 {
+                // Each in its turn, so that one that has just died costs some of the datagrams.
+                relays.push(addrs[self.seq as usize % addrs.len()]);
+            } else {
+                near.extend(addrs);
+            }
+        }
+        self.seq += 1;
+        let mut datagram = gossip::Datagram {
+            from: self.me(),
+            seq: self.seq,
+            relay: false,
+            news,
+        };
+        self.send_datagram(&datagram, &near);
+        datagram.relay = true;
+        self.send_datagram(&datagram, &relays);
+    }
+
+    /// Passes a datagram on to the others of this process's zone.
+    fn relay(&self, datagram: &gossip::Datagram) {
+        let own = &self.direct.node.settings().zone;
+        let peers = self.direct.peers();
+        let near = peers.iter().filter(|(_, peer)| peer.zone == *own);
+        let near: Vec<SocketAddr> = near.map(|(addr, _)| *addr).collect();
+        let passed = gossip::Datagram {
+            relay: false,
+            ..datagram.clone()
+        };
+        self.send_datagram(&passed, &near);
+    }
+
+    fn send_datagram(&self, datagram: &gossip::Datagram, targets: &[SocketAddr]) {
+        if targets.is_empty() {
+            return;
+        }
+        let bytes = gossip::encode(datagram);
+        for addr in targets {
+            // What cannot be sent now counts as lost on the way.
+            let _ = self.socket.try_send_to(&bytes, *addr);
+        }
     }
 
     fn greet(&mut self) {
@@ -200,6 +293,7 @@
             }
         }
         self.loads_due = true;
+        self.loads_whole = true;
         self.tell_control(now);
     }
 
@@ -316,21 +410,22 @@
         let datagram = gossip::Datagram {
             from: self.me(),
             seq: self.seq,
+            relay: false,
             news,
         };
-        let bytes = gossip::encode(&datagram);
-        for addr in targets {
-            // What cannot be sent now counts as lost on the way.
-            let _ = self.socket.try_send_to(&bytes, *addr);
-        }
+        self.send_datagram(&datagram, targets);
     }
 
     fn take(&mut self, datagram: gossip::Datagram) {
         let now = self.direct.node.now();
-        let from = datagram.from;
+        let from = &datagram.from;
         if from.link == self.direct.node.settings().link {
             return;
         }
+        if datagram.relay {
+            self.relay(&datagram);
+        }
+        let from = datagram.from;
         self.see(now, &from);
         match datagram.news {
             gossip::News::Hello(others) => {
@@ -348,11 +443,20 @@
                     self.direct.take_record(record, false);
                 }
             }
-            gossip::News::Loads { loads, waiting } => {
-                let mut state = self.direct.state();
-                let board = &mut state.board;
-                board.told(now, from.link, from.life, datagram.seq, loads, waiting);
+            gossip::News::Loads {
+                whole,
+                loads,
+                waiting,
+            } => {
+                let told = board::Told {
+                    whole,
+                    loads,
+                    waiting,
+                };
+                let board = &mut self.direct.state().board;
+                board.told(now, from.link, from.life, datagram.seq, told);
             }
+            gossip::News::Paces(paces) => self.direct.take_paces(&paces),
             gossip::News::Died(request, server) => {
                 self.direct.state().suspects.died(now, request, &server);
             }
@@ -392,6 +496,7 @@
             self.send(gossip::News::Records(records), &[addr]);
         }
         self.loads_due = true;
+        self.loads_whole = true;
     }
 
     /// Fetches the newest document from a process that holds a newer one.
@@ -415,7 +520,7 @@
     // Without an answer the next datagram of a process that is ahead starts another try.
     if let Ok(rpc::Answer::Document(Some(document))) = node.link(from).ask(&ask, PULL_TIMEOUT).await
     {
-        node.documents().install_packed(&document);
+        node.documents().install(document);
     }
 }
 
--- a/src/edge/direct/publish.rs
+++ b/src/edge/direct/publish.rs
@@ -7,6 +7,7 @@
 use super::Direct;
 use super::Read;
 use crate::direct::catalog;
+use crate::edge::document;
 use crate::edge::event::Event;
 use crate::log_event;
 use crate::wire::agree;
@@ -43,24 +44,30 @@
             // What is known here is durable at a quorum, and stays.
             Published::Held
         } else {
-            let document = agree::Document { version, text };
-            let command = agree::Command::Publish(document);
-            match self.node.propose(command, TIMEOUT).await {
-                agree::Verdict::Done { .. } => Published::Held,
-                _ => Published::Unknown,
-            }
+            self.propose(version, &text).await
         };
         log_event!(self.node.log(), Event::DocumentTaken, "version" => version, "known" => known,
             "outcome" => format!("{published:?}"));
         published
     }
 
-    /// The newest document, as a quorum knows it. `None`: there is none, or it cannot be known
+    async fn propose(&self, version: u64, text: &[u8]) -> Published {
+        let Ok(packed) = document::pack(text) else {
+            return Published::Unknown;
+        };
+        let command = agree::Command::Publish(agree::Document { version, packed });
+        match self.node.propose(command, TIMEOUT).await {
+            agree::Verdict::Done { .. } => Published::Held,
+            _ => Published::Unknown,
+        }
+    }
+
+    /// The text of the newest document, as a quorum knows it. `None`: there is none, or it cannot be known
     /// now which is the newest.
-    pub async fn newest(&self) -> Option<agree::Document> {
+    pub async fn newest(&self) -> Option<Bytes> {
         let newest = agree::Command::Newest;
         match self.node.propose(newest, TIMEOUT).await {
-            agree::Verdict::Newest(document) => document,
+            agree::Verdict::Newest(Some(document)) => document::unpack(&document.packed).ok(),
             _ => None,
         }
     }
--- a/src/wire/agree.rs
+++ b/src/wire/agree.rs
@@ -31,8 +31,8 @@
     pub struct Document {
         /// Its version, from 1.
         pub version: u64,
-        /// Its text, as it came.
-        pub text: bytes::Bytes,
+        /// Its text, packed by the process that it came to.
+        pub packed: bytes::Bytes,
     }
 
     /// What to change in the agreed state.
