--- a/src/cmd.rs
+++ b/src/cmd.rs
@@ -17,6 +17,7 @@
 mod control_change;
 mod control_members;
 mod drain;
+mod explain;
 mod key_hash;
 mod key_new;
 mod order;
@@ -93,6 +94,7 @@
         .subcommand(servers::command())
         .subcommand(order::command())
         .subcommand(drain::command())
+        .subcommand(explain::command())
 }
 
 /// Runs the command that the arguments name.
@@ -109,6 +111,7 @@
             None => Err(util::Error::Usage("a command is needed".to_owned())),
         },
         Some(("drain", matches)) => drain::run(matches),
+        Some(("explain", matches)) => explain::run(matches),
         Some(("order", matches)) => order::run(matches),
         Some(("servers", matches)) => servers::run(matches),
         Some((_, matches)) => status::run(matches),
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -55,6 +55,11 @@
 /// Between 1 and 4 the mean worth on seven seeded days differs by less than 0.01.
 const AGING: f64 = 2.0;
 
+/// Aims after which a long prompt that waits goes before nearly all others, and its gain by that.
+/// Without it, the largest ones were served less than half as often as all under load.
+const OVERDUE_AIMS: f64 = 1.3;
+const OVERDUE_GAIN: f64 = 2.0;
+
 /// Milliseconds of reading left at a server at which the next prompt is sent there: the way to
 /// it takes as long.
 const NEARLY_FREE_MS: f64 = 15.0;
@@ -133,7 +138,12 @@
 /// waits least; who has waited for long gains on the others.
 pub fn rank(engine: &model::Engine, need: &Need, waited: Duration, aim: Duration) -> u32 {
     let parts = waited.as_secs_f64() / aim.as_secs_f64().max(1e-3);
-    (engine.read_ms(need.prompt, 1) / (1.0 + AGING * parts)) as u32
+    let overdue = if parts > OVERDUE_AIMS {
+        OVERDUE_GAIN
+    } else {
+        1.0
+    };
+    (engine.read_ms(need.prompt, 1) / (1.0 + AGING * parts) / overdue) as u32
 }
 
 /// What a server is kept for.
@@ -259,6 +269,16 @@
     f64::from(server.load.backlog_ms) + server.failing * FAILING_MS + slow
 }
 
+/// Milliseconds for which a server is not to be had for a long prompt. Short parts are read there
+/// at any time, and a moment without any of them on the whole lane is rare.
+fn turn_ms(server: &Server) -> f64 {
+    let slow = (server.pace - 1.0).max(0.0) * SLOW_MS + server.failing * FAILING_MS;
+    if server.load.long == 0 {
+        return slow;
+    }
+    f64::from(server.load.backlog_ms) + slow
+}
+
 /// Brings servers into the order in which they are free, equal ones in an order of the request's
 /// own.
 fn sort_by_busy(need: &Need, servers: &[Server], order: &mut [usize]) {
@@ -278,7 +298,7 @@
         order = (0..servers.len()).collect();
     }
     sort_by_busy(need, servers, &mut order);
-    let busy: Vec<f64> = order.iter().map(|at| busy_ms(&servers[*at])).collect();
+    let busy: Vec<f64> = order.iter().map(|at| turn_ms(&servers[*at])).collect();
     order.truncate(soonest(&busy, engine.read_ms(need.prompt, 1)));
     let write = of(lanes, Lane::Write);
     let first = writer(engine, need, servers, &order, &write)?;
@@ -288,9 +308,9 @@
     order.push(first);
     let aside = set_aside(engine, need, servers, first, &helpers)?;
     let part_ms = engine.read_ms(need.prompt, order.len());
-    let backlogs = order
-        .iter()
-        .map(|at| f64::from(servers[*at].load.backlog_ms));
+    // Only other long prompts are waited for.
+    let reading = order.iter().filter(|at| servers[**at].load.long > 0);
+    let backlogs = reading.map(|at| f64::from(servers[*at].load.backlog_ms));
     let backlog = backlogs.fold(0.0, f64::max);
     let delay_ms = if backlog < NEARLY_FREE_MS {
         0.0
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -38,6 +38,12 @@
 pub mod reserve;
 pub mod stream;
 
+/// Time after a start from which the others are known that share a budget.
+const ACQUAINTED: Duration = Duration::from_secs(3);
+
+/// Entries that a process reckons with until then.
+const MANY_ENTRIES: usize = 40;
+
 /// Settings of an entry without sidecars.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -304,7 +310,12 @@
     /// Processes that take callers' requests, this one among them.
     pub(crate) fn entries(&self) -> usize {
         let peers = self.peers.lock().expect("peers lock");
-        1 + peers.values().filter(|one| one.peer.serves).count()
+        let known = 1 + peers.values().filter(|one| one.peer.serves).count();
+        // A process that has just started knows few of the others, or none.
+        if self.node.now() < ACQUAINTED {
+            return known.max(MANY_ENTRIES);
+        }
+        known
     }
 
     /// Closes idle connections and forgets what has long gone. To be called each second.
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -118,8 +118,10 @@
 enum Choice {
     /// There.
     Now(Box<Chosen>),
-    /// It waits for its turn, or for memory.
+    /// It waits for its turn.
     Later,
+    /// It waits for memory. Others need not wait for that.
+    NoMemory,
     /// No server is known.
     Nowhere,
 }
@@ -170,15 +172,22 @@
     }
 }
 
-impl Drop for Turn {
-    fn drop(&mut self) {
-        if let Some(ticket) = self.ticket {
+impl Turn {
+    /// Gives its place in the line back.
+    fn leave(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
             self.direct.state().board.stop_waiting(ticket);
             self.direct.loads_changed.notify_one();
         }
     }
 }
 
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
 /// A request's place on the board, given back when it is dropped.
 pub struct Seat {
     direct: Arc<Direct>,
@@ -264,7 +273,7 @@
         let servers = self.servers(&mut state, now, &records);
         let any_waits = state.board.any_waits(now);
         let Some(place) = locate(course, &servers, any_waits) else {
-            return Choice::Later;
+            return Choice::NoMemory;
         };
         if place.delay_ms > 0.0 {
             return Choice::Later;
@@ -355,13 +364,15 @@
                 match self.choose(course) {
                     Choice::Now(chosen) => return Some(*chosen),
                     Choice::Nowhere => return None,
-                    Choice::Later => {}
+                    Choice::Later => turn.wait(course),
+                    Choice::NoMemory => turn.leave(),
                 }
+            } else {
+                turn.wait(course);
             }
             if !may_wait(course) {
                 return None;
             }
-            turn.wait(course);
             time::sleep(TURN_PAUSE).await;
         }
     }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -37,7 +37,8 @@
 /// When a caller is asked to come back where nothing says better.
 const COME_BACK: Duration = Duration::from_millis(300);
 
-/// Pause before an attempt after two that were refused: who is full now may not be soon.
+/// Pause before an attempt after two that were refused, doubled with each: who is full now may not
+/// be soon, and each refusal counts as one that was sent again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
 
 /// Longest time for a caller that gives none.
@@ -223,7 +224,7 @@
                 return Err(missed);
             }
             if course.past.tried > 1 && missed.end.not_run() {
-                time::sleep(REFUSED_PAUSE).await;
+                time::sleep(REFUSED_PAUSE * (1 << (course.past.tried - 2).min(4))).await;
             }
         }
     }
--- a/tests/open_members.rs
+++ b/tests/open_members.rs
@@ -178,8 +178,10 @@
             sim.run_until(LIMIT, leads),
             "seed {seed}: an acknowledged document is gone"
         );
-        let took = sim.now() - killed;
-        assert!(took < ms(1_500), "seed {seed}: {took:?} without a leader");
+        assert!(
+            sim.now() < killed + ms(1_500),
+            "seed {seed}: too long without a leader"
+        );
     }
 }
 
--- a/tests/retry_verdicts.rs
+++ b/tests/retry_verdicts.rs
@@ -147,7 +147,7 @@
     while budget.spend(start, "pool", 1) {
         first += 1;
     }
-    let within = start + limit.window - Duration::from_millis(1);
+    let within = start + limit.window.mul_f64(0.999);
     assert!(!budget.spend(within, "pool", 1));
     assert!(budget.spend(start + limit.window, "pool", 1));
     assert!(first > 0);
--- a/tests/server_faults.rs
+++ b/tests/server_faults.rs
@@ -16,11 +16,11 @@
 #[test]
 fn pause_grows() {
     let mut healths = Healths::default();
-    let first = healths.missed(NOW, "a") - NOW;
-    let second = healths.missed(NOW, "a") - NOW;
+    let first = healths.missed(NOW, "a");
+    let second = healths.missed(NOW, "a");
     assert!(second > first);
     let last = (0..20).map(|_| healths.missed(NOW, "a")).last();
-    assert!(last.is_some_and(|until| until - NOW <= Duration::from_secs(4)));
+    assert!(last.is_some_and(|until| until <= NOW + Duration::from_secs(4)));
     assert!(healths.is_out(NOW, "a"));
     healths.answered(NOW, "a", true);
     assert!(
