Split the attempt into course, choice, probe and attempt; look for memory less often

Change: four modules; a look for memory each 0.1 s. Ruled out: the split itself (no decision changed).

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -26,13 +26,16 @@
 
 pub mod attempt;
 pub mod checkup;
+pub mod choose;
 pub mod count;
+pub mod course;
 pub mod dialect;
 pub mod door;
 pub mod host;
 pub mod lines;
 pub mod mesh;
 pub mod pool;
+mod probe;
 pub mod publish;
 pub mod relay;
 pub mod reserve;
--- /dev/null
+++ b/src/edge/direct/choose.rs
@@ -0,0 +1,313 @@
+//! Where an attempt goes: servers in good standing, their work as known here, and the line of
+//! long prompts that wait for their turn.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::time;
+
+use super::Direct;
+use super::course::Course;
+use crate::direct::board;
+use crate::direct::place;
+use crate::direct::register;
+use crate::edge::event::Event;
+use crate::log_event;
+
+/// Silence of heartbeats after which a server is only used if no other is there.
+const UNHEARD: Duration = Duration::from_secs(6);
+
+/// Pause before a prompt that waits for its turn looks again: a third of the shortest part that
+/// is worth a turn.
+const TURN_PAUSE: Duration = Duration::from_millis(15);
+
+/// Pause before a prompt looks again for memory: about two passes of an engine. Looking weighs all
+/// servers, which on the smallest machines costs more than the wait gains.
+const MEMORY_PAUSE: Duration = Duration::from_millis(100);
+
+/// Where a request goes, if anywhere yet.
+enum Choice {
+    /// There.
+    Now(Box<Chosen>),
+    /// It waits for its turn.
+    Later,
+    /// It waits for memory. Others need not wait for that.
+    NoMemory,
+    /// No server is known.
+    Nowhere,
+}
+
+/// A long prompt's place in the line of those that wait, given back when it is dropped.
+struct Turn {
+    direct: Arc<Direct>,
+    ticket: Option<board::Ticket>,
+    rank: u32,
+}
+
+impl Turn {
+    fn new(direct: &Arc<Direct>) -> Self {
+        Self {
+            direct: Arc::clone(direct),
+            ticket: None,
+            rank: 0,
+        }
+    }
+
+    /// Whether none that waits goes before it. Who has not waited yet tries its luck.
+    fn has_come(&self, course: &Course) -> bool {
+        let now = self.direct.node.now();
+        let is_long = course
+            .engine
+            .is_some_and(|one| place::is_long(&one, &course.need()));
+        let (Some(ticket), true) = (self.ticket, is_long) else {
+            return true;
+        };
+        let state = self.direct.state();
+        state.board.is_first(now, ticket, self.rank)
+    }
+
+    /// Takes its place, or keeps it with a better rank.
+    fn wait(&mut self, course: &Course) {
+        let Some(engine) = &course.engine else {
+            return;
+        };
+        let waited = course.began.elapsed();
+        self.rank = place::rank(engine, &course.need(), waited, course.route.objective);
+        let is_new = self.ticket.is_none();
+        let mut state = self.direct.state();
+        self.ticket = Some(state.board.wait(self.ticket, self.rank));
+        drop(state);
+        if is_new {
+            self.direct.loads_changed.notify_one();
+        }
+    }
+}
+
+impl Turn {
+    /// Time until it looks again.
+    fn pause(&self) -> Duration {
+        if self.ticket.is_some() {
+            TURN_PAUSE
+        } else {
+            MEMORY_PAUSE
+        }
+    }
+
+    /// Gives its place in the line back.
+    fn leave(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.direct.state().board.stop_waiting(ticket);
+            self.direct.loads_changed.notify_one();
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
+
+/// A request's place on the board, given back when it is dropped.
+pub struct Seat {
+    direct: Arc<Direct>,
+    ticket: board::Ticket,
+}
+
+impl Seat {
+    /// The first event came.
+    pub fn wrote(&self) {
+        self.direct.state().board.wrote(self.ticket);
+        self.direct.loads_changed.notify_one();
+    }
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        let now = self.direct.node.now();
+        self.direct.state().board.leave(now, self.ticket);
+        self.direct.loads_changed.notify_one();
+    }
+}
+
+/// Where an attempt goes.
+pub struct Chosen {
+    /// The server.
+    pub server: register::Record,
+    /// Servers that help it read.
+    pub helpers: Vec<register::Record>,
+    /// Tokens of memory to set aside at each of those.
+    pub aside: Vec<u64>,
+    /// Milliseconds until the first event, as predicted. 0: not predicted.
+    pub first_ms: f64,
+    /// Its place on the board.
+    pub seat: Seat,
+}
+
+impl Direct {
+    /// Chooses servers for a request and takes a place on the board there.
+    fn choose(self: &Arc<Self>, course: &Course) -> Choice {
+        let now = self.node.now();
+        let mut state = self.state();
+        let records = candidates(&state, now, course);
+        if records.is_empty() {
+            return Choice::Nowhere;
+        }
+        let servers = self.servers(&mut state, now, &records);
+        let any_waits = state.board.any_waits(now);
+        let Some(place) = locate(course, &servers, any_waits) else {
+            return Choice::NoMemory;
+        };
+        if place.delay_ms > 0.0 {
+            return Choice::Later;
+        }
+        let prompt = course.ask.size.map_or(0, |size| size.prompt);
+        let part = |(at, memory): (usize, u64)| board::Part {
+            server: servers[at].key,
+            read_ms: place.part_ms,
+            memory,
+        };
+        let aside: u64 = place.aside.iter().sum();
+        let own = (prompt + course.expected_answer()).saturating_sub(aside);
+        let helpers = place
+            .helpers
+            .iter()
+            .copied()
+            .zip(place.aside.iter().copied());
+        let chosen = std::iter::once((place.first, own)).chain(helpers);
+        let claim = board::Claim {
+            parts: chosen.map(part).collect(),
+            prompt,
+            answer: course.expected_answer(),
+            bound_ms: course.route.pause.map_or(0, |one| one.as_millis() as u32),
+            is_long: course
+                .engine
+                .is_some_and(|one| place::is_long(&one, &course.need())),
+            reads: (now, now + millis(place.first_ms)),
+        };
+        let ticket = state.board.enter(now, claim);
+        drop(state);
+        self.loads_changed.notify_one();
+        let seat = Seat {
+            direct: Arc::clone(self),
+            ticket,
+        };
+        let load = servers[place.first].load;
+        if self.lines.allow(Event::RequestPlaced, now) {
+            log_event!(self.node.log(), Event::RequestPlaced, "request" => &course.ask.id,
+                "route" => &course.route.name, "config" => course.version,
+                "server" => &records[place.first].id, "prompt" => prompt, "aside" => place.aside.iter().sum::<u64>(),
+                "helpers" => place.helpers.iter().map(|at| records[*at].id.as_str()).collect::<Vec<_>>().join(","), "first_ms" => place.first_ms as u64,
+                "writers" => load.writers, "readers" => load.readers, "backlog_ms" => load.backlog_ms,
+                "tried" => course.past.tried, "waited_ms" => course.began.elapsed().as_millis() as u64,
+                "left_ms" => course.left().as_millis() as u64);
+        }
+        Choice::Now(Box::new(Chosen {
+            server: records[place.first].clone(),
+            helpers: place
+                .helpers
+                .iter()
+                .map(|at| records[*at].clone())
+                .collect(),
+            aside: place.aside,
+            first_ms: place.first_ms,
+            seat,
+        }))
+    }
+
+    /// What is known of servers, for placing.
+    fn servers(
+        &self,
+        state: &mut super::State,
+        now: Duration,
+        records: &[register::Record],
+    ) -> Vec<place::Server> {
+        let zone = &self.node.settings().zone;
+        let view = state.board.view(now);
+        let server = |one: &register::Record| {
+            let key = board::server_key(&one.id);
+            place::Server {
+                id: one.id.clone(),
+                key,
+                near: one.zone == *zone,
+                slots: one.slots,
+                load: view.get(&key).copied().unwrap_or_default(),
+                pace: state.healths.pace(&one.id),
+                failing: state.healths.failing(now, &one.id),
+            }
+        };
+        records.iter().map(server).collect()
+    }
+
+    /// Chooses servers for a request, once it is its turn and there is memory for it.
+    pub(super) async fn choose_in_turn(self: &Arc<Self>, course: &Course) -> Option<Chosen> {
+        let mut turn = Turn::new(self);
+        loop {
+            if turn.has_come(course) {
+                match self.choose(course) {
+                    Choice::Now(chosen) => return Some(*chosen),
+                    Choice::Nowhere => return None,
+                    Choice::Later => turn.wait(course),
+                    Choice::NoMemory => turn.leave(),
+                }
+            } else {
+                turn.wait(course);
+            }
+            if !course.may_wait() {
+                return None;
+            }
+            time::sleep(turn.pause()).await;
+        }
+    }
+}
+
+/// Servers that a request may go to: those in good standing; failing that, any.
+fn candidates(state: &super::State, now: Duration, course: &Course) -> Vec<register::Record> {
+    let ready: Vec<(&register::Record, Duration)> =
+        state.register.ready(now, &course.service).collect();
+    let untried = |one: &register::Record| !course.tried.contains(&one.id);
+    let good: Vec<register::Record> = ready
+        .iter()
+        .filter(|(one, age)| *age < UNHEARD && untried(one) && !state.healths.is_out(now, &one.id))
+        .map(|(one, _)| (*one).clone())
+        .collect();
+    if !good.is_empty() {
+        return good;
+    }
+    let rest: Vec<register::Record> = ready
+        .iter()
+        .filter(|(one, _)| untried(one))
+        .map(|(one, _)| (*one).clone())
+        .collect();
+    if !rest.is_empty() {
+        return rest;
+    }
+    ready.iter().map(|(one, _)| (*one).clone()).collect()
+}
+
+/// Finds the place of a request among `servers`.
+fn locate(course: &Course, servers: &[place::Server], any_waits: bool) -> Option<place::Place> {
+    let alone = |first: usize, first_ms: f64| place::Place {
+        first,
+        helpers: Vec::new(),
+        aside: Vec::new(),
+        first_ms,
+        part_ms: first_ms,
+        delay_ms: 0.0,
+    };
+    let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
+        return place::plain(servers).map(|at| alone(at, 0.0));
+    };
+    let need = course.need();
+    let placed = place::engine(engine, &need, servers, any_waits);
+    // Nowhere is memory as far as known. For a short prompt the servers themselves know better.
+    let is_short = size.prompt <= engine.usual_prompt;
+    placed.or_else(|| {
+        let at = place::plain(servers).filter(|_| is_short)?;
+        Some(alone(at, engine.read_ms(size.prompt, 1)))
+    })
+}
+
+fn millis(ms: f64) -> Duration {
+    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
+}
--- /dev/null
+++ b/src/edge/direct/probe.rs
@@ -0,0 +1,84 @@
+//! Asks servers whether they are there, and draws conclusions.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt as _;
+use http_body_util::Full;
+use http_body_util::Limited;
+use tokio::time;
+
+use super::Direct;
+use super::dialect;
+use super::pool;
+use crate::direct::register;
+use crate::wire::id;
+
+/// Time for a server to answer a question about itself; some round trips between zones.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time between two such questions.
+const PROBE_PAUSE: Duration = Duration::from_millis(800);
+
+impl Direct {
+    /// Another server than the one asked was at fault: it could not help.
+    pub(super) fn blame(&self, server: &register::Record, at_fault: Option<&str>) {
+        let Some(addr) = at_fault.and_then(|one| one.parse().ok()) else {
+            return;
+        };
+        if addr == server.addr {
+            return;
+        }
+        let helper = self.state().register.at(addr).map(|one| one.id.clone());
+        if let Some(helper) = helper {
+            self.missed(&helper, "could not help");
+        }
+    }
+
+    /// After a connection broke: asks whether the server is still there.
+    pub(super) fn look_after(
+        self: &Arc<Self>,
+        fingerprint: id::Fingerprint,
+        server: register::Record,
+    ) {
+        let direct = Arc::clone(self);
+        tokio::spawn(async move {
+            if direct.probe(&server).await.is_none() {
+                direct.missed(&server.id, "connection broken, and no answer since");
+                direct.died(fingerprint, &server.id);
+            } else {
+                let now = direct.node.now();
+                direct.state().healths.answered(now, &server.id, false);
+            }
+        });
+    }
+
+    /// Ends when the server answers no question about itself.
+    pub(super) async fn dead(&self, server: &register::Record, quiet: Duration) {
+        time::sleep(quiet).await;
+        while self.probe(server).await.is_some() {
+            time::sleep(PROBE_PAUSE).await;
+        }
+    }
+
+    /// Asks a server about itself. `None`: it does not answer.
+    pub(super) async fn probe(&self, server: &register::Record) -> Option<dialect::Report> {
+        let asking = async {
+            let mut conn = pool::Conn::open(server.addr).await.ok()?;
+            let request = http::Request::get(self.dialect.report_path())
+                .header(http::header::HOST, server.addr.to_string())
+                .body(Full::new(Bytes::new()))
+                .ok()?;
+            let response = conn.send(request).await.ok()?;
+            let body = Limited::new(response.into_body(), 64 << 10);
+            let body = body.collect().await.ok()?.to_bytes();
+            Some(self.dialect.report(&body).unwrap_or_default())
+        };
+        let report = time::timeout(PROBE_TIMEOUT, asking).await.ok()??;
+        if report.pace > 0.0 {
+            self.state().healths.paced(&server.id, report.pace);
+        }
+        Some(report)
+    }
+}
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -18,6 +18,7 @@
 
 use super::Direct;
 use super::attempt;
+use super::course::Course;
 use super::dialect;
 use super::door;
 use super::stream;
@@ -107,7 +108,7 @@
         head: request::Parts,
         body: body::Incoming,
         began: Instant,
-    ) -> Result<attempt::Course, Denied> {
+    ) -> Result<Course, Denied> {
         let catalog = self.catalog();
         let limits = catalog.as_ref().map(|one| *one.limits());
         let body = read_body(body, &limits.unwrap_or_default()).await?;
@@ -145,7 +146,7 @@
             return Err(Denied::new(status, "backend servers died under it"));
         }
         let priority = workspace.and_then(|one| one.priority);
-        Ok(attempt::Course {
+        Ok(Course {
             priority: priority.unwrap_or(route.priority),
             route: route.clone(),
             ask,
@@ -165,7 +166,7 @@
 
     async fn relay(
         self: &Arc<Self>,
-        mut course: attempt::Course,
+        mut course: Course,
         mut watch: Watch,
     ) -> http::Response<door::Body> {
         let now = self.node.now();
@@ -205,7 +206,7 @@
     /// Tries until there is an answer to pass on, or no use in another attempt.
     async fn pursue(
         self: &Arc<Self>,
-        course: &mut attempt::Course,
+        course: &mut Course,
         after: Option<&str>,
     ) -> Result<attempt::Got, attempt::Missed> {
         loop {
@@ -238,7 +239,7 @@
 
     /// Whether a request may leave the server that it waits at, and spends what that takes.
     /// Whoever may not goes on waiting: an answer may yet come.
-    pub(super) fn may_move(&self, course: &attempt::Course) -> bool {
+    pub(super) fn may_move(&self, course: &Course) -> bool {
         let end = verdict::End::Slow;
         verdict::again(&course.route, &end, course.past, course.left())
             && self.spend(&course.service)
@@ -247,7 +248,7 @@
     /// Passes events on as they come; where the stream breaks off, it goes on elsewhere.
     fn pass_stream(
         self: &Arc<Self>,
-        mut course: attempt::Course,
+        mut course: Course,
         mut watch: Watch,
         head: &response::Parts,
         first: stream::Piece,
@@ -306,7 +307,7 @@
     /// Goes on with a stream at another server after its last whole event.
     async fn resume(
         self: &Arc<Self>,
-        course: &mut attempt::Course,
+        course: &mut Course,
         reader: &stream::Reader,
         lost: &verdict::End,
         after: Option<&str>,
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -10,7 +10,7 @@
 use tokio::time;
 
 use super::Direct;
-use super::attempt;
+use super::choose;
 use super::dialect;
 use super::pool;
 use super::reserve;
@@ -46,7 +46,7 @@
     pub server: register::Record,
     /// Milliseconds until the first event, as predicted.
     pub first_ms: f64,
-    seat: attempt::Seat,
+    seat: choose::Seat,
     conn: Option<pool::Conn>,
     /// Memory set aside for it, released with this.
     _memory: Option<reserve::Reservation>,
@@ -61,7 +61,7 @@
     /// Reads `body`, which came over the connection held, with memory set aside for it.
     pub fn new(
         direct: &Arc<Direct>,
-        chosen: attempt::Chosen,
+        chosen: choose::Chosen,
         held: (pool::Conn, Option<reserve::Reservation>),
         body: body::Incoming,
         answer: &dialect::Answer,
