--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -6,7 +6,6 @@
 
 use anyhow::Context;
 use signal_hook::consts;
-use signal_hook::iterator;
 use slog::Drain;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
@@ -19,6 +18,7 @@
 use wigeonbarrow::edge::node;
 use wigeonbarrow::edge::settings;
 use wigeonbarrow::edge::sidecar;
+use wigeonbarrow::edge::signal;
 use wigeonbarrow::log_event;
 use wigeonbarrow::wire::member;
 
@@ -70,7 +70,7 @@
         .enable_all()
         .build()
         .context("runtime")?;
-    let signals = signals().context("signals")?;
+    let signals = signal::listen(&[consts::SIGTERM, consts::SIGINT]).context("signals")?;
     runtime.block_on(serve(settings, log, signals))
 }
 
@@ -181,17 +181,3 @@
         }
     }
 }
-
-/// A named thread that passes on SIGTERM and SIGINT.
-fn signals() -> anyhow::Result<mpsc::Receiver<i32>> {
-    let (tx, rx) = mpsc::channel(4);
-    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT])?;
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            for signal in signals.forever() {
-                let _ = tx.try_send(signal);
-            }
-        })?;
-    Ok(rx)
-}
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -14,3 +14,4 @@
 pub mod order;
 pub mod settings;
 pub mod sidecar;
+pub mod signal;
--- a/src/edge/direct/host.rs
+++ b/src/edge/direct/host.rs
@@ -14,7 +14,6 @@
 use http::header;
 use hyper::body;
 use signal_hook::consts;
-use signal_hook::iterator;
 use slog::Drain;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -34,6 +33,7 @@
 use crate::edge::event::Event;
 use crate::edge::link;
 use crate::edge::node;
+use crate::edge::signal;
 use crate::log_event;
 
 /// Log records that may wait for standard output; what is over is dropped and counted.
@@ -98,7 +98,8 @@
         .overflow_strategy(slog_async::OverflowStrategy::DropAndReport)
         .build_with_guard();
     let log = slog::Logger::root(drain.fuse(), slog::o!("node" => setup.node.name.clone()));
-    let signals = signals().context("signals")?;
+    let signals =
+        signal::listen(&[consts::SIGTERM, consts::SIGINT, consts::SIGHUP]).context("signals")?;
     // One thread: the machines have a part of a core, and a task's hop to another thread costs
     // more than the work it brings.
     let runtime = runtime::Builder::new_current_thread()
@@ -338,17 +339,3 @@
         time::sleep(Duration::from_millis(50)).await;
     }
 }
-
-/// A named thread that passes signals on.
-fn signals() -> anyhow::Result<mpsc::Receiver<i32>> {
-    let (tx, rx) = mpsc::channel(8);
-    let mut signals = iterator::Signals::new([consts::SIGTERM, consts::SIGINT, consts::SIGHUP])?;
-    std::thread::Builder::new()
-        .name("signals".to_owned())
-        .spawn(move || {
-            for signal in signals.forever() {
-                let _ = tx.try_send(signal);
-            }
-        })?;
-    Ok(rx)
-}
