Calls go to another of equal servers each time; the reckoning of a new process only after a restart

Change: ties by a draw of the request; the reckoning only where the process starts again. Ruled out: the split and the thread of signals (red before them as well, by chance).

--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -282,7 +282,7 @@
 /// Brings servers into the order in which they are free, equal ones in an order of the request's
 /// own.
 fn sort_by_busy(need: &Need, servers: &[Server], order: &mut [usize]) {
-    let mix = |at: usize| (servers[at].key ^ need.draw).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    let mix = |at: usize| mixed(&servers[at], need.draw);
     order.sort_by(|one, other| {
         let (one, other) = (*one, *other);
         let busy = busy_ms(&servers[one]).total_cmp(&busy_ms(&servers[other]));
@@ -476,15 +476,21 @@
     (tokens as f64 / usual).powf(0.75).max(0.1)
 }
 
-/// Places a call on servers of a plain service: the least taken one, in this zone if equal.
-pub fn plain(servers: &[Server]) -> Option<usize> {
+/// Places a call on servers of a plain service: the least taken one, in this zone if equal; among
+/// equals, another one for each `draw`.
+pub fn plain(servers: &[Server], draw: u64) -> Option<usize> {
     let cost = |one: &Server| {
         let taken = f64::from(one.load.readers + one.load.writers);
         let far = if one.near { 0.0 } else { ZONE };
         taken / f64::from(one.slots.max(1)) * one.pace.max(1.0) + one.failing * 2.0 + far
     };
-    let costs = servers.iter().map(cost).enumerate();
-    costs
-        .min_by(|one, other| one.1.total_cmp(&other.1))
-        .map(|one| one.0)
+    let costs = servers.iter().enumerate();
+    let costs = costs.map(|(at, one)| (cost(one), mixed(one, draw), at));
+    let least = costs.min_by(|one, other| one.0.total_cmp(&other.0).then(one.1.cmp(&other.1)));
+    least.map(|(_, _, at)| at)
+}
+
+/// A server's place in an order of the request's own.
+fn mixed(server: &Server, draw: u64) -> u64 {
+    (server.key ^ draw).wrapping_mul(0x9e37_79b9_7f4a_7c15)
 }
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -314,8 +314,8 @@
     pub(crate) fn entries(&self) -> usize {
         let peers = self.peers.lock().expect("peers lock");
         let known = 1 + peers.values().filter(|one| one.peer.serves).count();
-        // A process that has just started knows few of the others, or none.
-        if self.node.now() < ACQUAINTED {
+        // A process that has just started again knows few of the others, or none.
+        if !self.settings.first_start && self.node.now() < ACQUAINTED {
             return known.max(MANY_ENTRIES);
         }
         known
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -296,14 +296,14 @@
         delay_ms: 0.0,
     };
     let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
-        return place::plain(servers).map(|at| alone(at, 0.0));
+        return place::plain(servers, course.need().draw).map(|at| alone(at, 0.0));
     };
     let need = course.need();
     let placed = place::engine(engine, &need, servers, any_waits);
     // Nowhere is memory as far as known. For a short prompt the servers themselves know better.
     let is_short = size.prompt <= engine.usual_prompt;
     placed.or_else(|| {
-        let at = place::plain(servers).filter(|_| is_short)?;
+        let at = place::plain(servers, course.need().draw).filter(|_| is_short)?;
         Some(alone(at, engine.read_ms(size.prompt, 1)))
     })
 }
