Spread parts over writers' servers when none else is left; add up reads that follow each other

The lane of reading had one server left, and a prompt was then split over no more servers than that lane has: 46,000 tokens were read whole (479 ms) beside 15 writers. And a server that had just been given to the short ones drew 12 prompts in 0.2 s: what was left to read stayed below the bound all the time, while the engine read without a break, which is what stretches a pause. Ruled out: late word of other entries alone (one entry sent 4 of the 12 itself); memory (nothing was preempted). Change: parts go to the lane of reading, then of writing, then to those of tight pauses where least was read lately; work given in the last 250 ms counts for a pause, fading.

--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -21,6 +21,11 @@
 /// somebody does. An entry that has died holds nobody up for longer.
 const WAIT_HOLDS: Duration = Duration::from_millis(900);
 
+/// Time in which work given to a server fades from what counts as given lately. Writers' events
+/// come each time that an engine has made some dozen tokens, and reading between those adds up:
+/// 200 ms of it stretch a pause of 48 ms to 250 ms, whether they come at once or one by one.
+const LATELY: Duration = Duration::from_millis(250);
+
 /// Ranks told to others.
 const MOST_WAITING: usize = 4;
 
@@ -61,6 +66,9 @@
         pub overdue_ms: u32,
         /// Milliseconds until all work given to the server is read, by all entries.
         pub backlog_ms: u32,
+        /// Milliseconds of work given to the server lately, by all entries, older work counting
+        /// less: see [`LATELY`].
+        pub lately_ms: u32,
     }
 }
 
@@ -136,9 +144,16 @@
 struct Backlog {
     ms: f64,
     at: Duration,
+    /// Work given lately, at `at`.
+    lately: f64,
 }
 
 impl Backlog {
+    fn lately(&self, now: Duration) -> f64 {
+        let since = now.saturating_sub(self.at).as_secs_f64();
+        self.lately * (-since / LATELY.as_secs_f64()).exp()
+    }
+
     fn left(&self, now: Duration) -> f64 {
         let since = now.saturating_sub(self.at).as_secs_f64() * 1e3;
         (self.ms - since).max(0.0)
@@ -146,6 +161,7 @@
 
     fn add(&mut self, now: Duration, ms: f64) {
         self.ms = (self.left(now) + ms).max(0.0);
+        self.lately = (self.lately(now) + ms).max(0.0);
         self.at = now;
     }
 }
@@ -371,7 +387,13 @@
             };
             // Work that was expected and is done sooner, or was given up, is seen by this.
             let left = backlog.left(now).min(f64::from(load.read_ms));
-            *backlog = Backlog { ms: left, at: now };
+            let lately = backlog.lately(now);
+            *backlog = Backlog {
+                ms: left,
+                at: now,
+                lately,
+            };
+            load.lately_ms = lately as u32;
             let overdue = f64::from(load.overdue_ms) * OVERDUE_PART;
             load.backlog_ms = left.max(overdue) as u32;
         }
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -210,13 +210,16 @@
 /// a part is read there; the others go before what is read in the last lane.
 fn short(engine: &model::Engine, need: &Need, servers: &[Server], lanes: &[Lane]) -> Option<Place> {
     let alone_ms = engine.read_ms(need.prompt, 1);
-    let mut helpers = of(lanes, Lane::Read);
-    if helpers.is_empty() {
-        helpers = (0..servers.len()).collect();
-    }
+    let mut helpers: Vec<usize> = (0..servers.len()).collect();
     sort_by_busy(need, servers, &mut helpers);
+    // Where nobody writes with tight pauses first; among the others where least was read lately.
+    helpers.sort_by_key(|at| match lanes[*at] {
+        Lane::Read => 0,
+        Lane::Write => 1,
+        Lane::Tight => 2 + reading_ms(&servers[*at]) as u32,
+    });
     let width = (alone_ms / PART_MS).ceil().max(1.0) as usize;
-    let width = width.min(MOST_WIDTH).min(helpers.len().max(1));
+    let width = width.min(MOST_WIDTH).min(servers.len().max(1));
     let part_ms = alone_ms / width as f64;
     let worth = weight(engine, need.prompt);
     let mut best: Option<(f64, usize, f64)> = None;
@@ -436,7 +439,7 @@
         return 0.0;
     }
     let pass_ms = engine.pass_ms(load.writers, load.context);
-    let pause_ms = (pass_ms + f64::from(load.backlog_ms) + part_ms) * server.pace.max(1.0);
+    let pause_ms = (pass_ms + reading_ms(server) + part_ms) * server.pace.max(1.0);
     if pause_ms <= f64::from(load.bound_ms) * PAUSE_PART {
         return 0.0;
     }
@@ -444,6 +447,11 @@
     f64::from(others) * LATE * weight(engine, usual)
 }
 
+/// Milliseconds of reading that fall into a pause of a server's writers.
+fn reading_ms(server: &Server) -> f64 {
+    f64::from(server.load.backlog_ms.max(server.load.lately_ms))
+}
+
 /// Costs of a server whatever the request.
 fn beside(server: &Server) -> f64 {
     let near = if server.near { 0.0 } else { ZONE };
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -259,14 +259,14 @@
         let direct = Arc::clone(self);
         let pieces = async_stream::stream! {
             let mut after = first.last.clone();
-            watch.events += first.events;
+            watch.passed(first.events);
             yield Ok(body::Frame::data(first.bytes));
             let limit = time::Instant::from_std(course.end);
             loop {
                 let next = time::timeout_at(limit, time::timeout(course.stuck(), reader.next(attempt::QUIET, || direct.may_move(&course))));
                 let lost = match next.await {
                     Ok(Ok(stream::Next::Piece(piece))) => {
-                        watch.events += piece.events;
+                        watch.passed(piece.events);
                         if piece.last.is_some() {
                             after.clone_from(&piece.last);
                         }
@@ -285,7 +285,7 @@
                 };
                 let resumed = direct.resume(&mut course, &reader, &lost, after.as_deref());
                 if let Ok(Some((piece, next))) = time::timeout_at(limit, resumed).await {
-                        watch.events += piece.events;
+                        watch.passed(piece.events);
                         if piece.last.is_some() {
                             after.clone_from(&piece.last);
                         }
@@ -345,6 +345,10 @@
     began: Instant,
     first: Option<Duration>,
     events: u32,
+    /// When its last events were passed on.
+    last: Instant,
+    /// Longest pause between its events, at this entry.
+    pause: Duration,
     ended: bool,
 }
 
@@ -358,6 +362,8 @@
             began: Instant::now(),
             first: None,
             events: 0,
+            last: Instant::now(),
+            pause: Duration::ZERO,
             ended: false,
         }
     }
@@ -368,6 +374,14 @@
         self.direct.counts.first(&self.service, took, predicted_ms);
     }
 
+    fn passed(&mut self, events: u32) {
+        if self.events > 0 {
+            self.pause = self.pause.max(self.last.elapsed());
+        }
+        self.last = Instant::now();
+        self.events += events;
+    }
+
     fn end(&mut self, status: StatusCode, cause: &str) {
         let took = self.began.elapsed();
         self.ended = true;
@@ -397,7 +411,8 @@
         let first = self.first.map_or(0, |one| one.as_millis() as u64);
         let whole = self.began.elapsed().as_millis() as u64;
         log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
-            "cause" => cause, "first_ms" => first, "whole_ms" => whole, "events" => self.events);
+            "cause" => cause, "first_ms" => first, "whole_ms" => whole, "events" => self.events,
+            "pause_ms" => self.pause.as_millis() as u64);
     }
 }
 
--- a/tests/engine_places.rs
+++ b/tests/engine_places.rs
@@ -144,6 +144,51 @@
     assert!(pass + place.part_ms < 250.0 * 0.85, "{place:?}");
 }
 
+/// A burst of short work leaves one server to the lane of reading: parts go to others as well.
+#[test]
+fn split_beside_writers() {
+    let mut servers = servers(14);
+    for server in &mut servers[..11] {
+        write_tight(server, 15);
+    }
+    let lanes = place::lanes(&servers, true);
+    let reading = lanes.iter().filter(|lane| **lane == Lane::Read).count();
+    assert_eq!(reading, 1, "{lanes:?}");
+    let need = Need {
+        bound_ms: 600,
+        aim: Duration::from_millis(1_500),
+        ..short(45_000)
+    };
+    let place = put(&need, &servers);
+    assert_eq!(place.helpers.len(), 6, "{place:?}");
+    assert!(place.part_ms < 70.0, "{place:?}");
+}
+
+/// Reads that follow each other closely stretch a pause as one of their sum does.
+#[test]
+fn reads_add_up() {
+    let mut board = Board::default();
+    for at in 0..6 {
+        let now = NOW + Duration::from_millis(40) * at;
+        let ticket = board.enter(now, claim(1, 35.0));
+        board.wrote(ticket);
+    }
+    let now = NOW + Duration::from_millis(210);
+    let load = board.view(now)[&1];
+    assert!(load.backlog_ms < 40, "the rest is read: {load:?}");
+    assert!(load.lately_ms > 120, "{load:?}");
+    let later = board.view(now + Duration::from_secs(1))[&1];
+    assert!(later.lately_ms < 10, "{later:?}");
+
+    let mut servers = servers(2);
+    for server in &mut servers {
+        write_tight(server, 8);
+    }
+    servers[0].load.lately_ms = 150;
+    let place = put(&short(5_000), &servers);
+    assert_eq!(place.first, 1, "{place:?}");
+}
+
 #[test]
 fn lanes_follow_load() {
     let mut servers = servers(14);
