Decisions on waiting move to direct/patience, with tests of their own

How long requests, callers and attempts wait was decided in three files of the edge, where no test reaches it without processes, and an attempt that began with no time left asked for a better server without a pause. Ruled out: other effects of that; it ended after some 128 turns, when the request's own limit was polled. Tests doubts, callers_give_up, short_holds, too_late_to_begin, stuck_streams are new; waiting_gains and on_time_first moved as they were.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -11,6 +11,7 @@
 pub mod fault;
 pub mod gossip;
 pub mod model;
+pub mod patience;
 pub mod place;
 pub mod register;
 pub mod sse;
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -55,19 +55,6 @@
 /// two deployments, 0.609 and 0.721 at 1; at 1.2 the short ones pay for it (0.702).
 const TAKEN_PART: f64 = 1.0;
 
-/// How much a long prompt gains by waiting: after its aim it ranks as one a third as long.
-/// Between 1 and 4 the mean worth on seven seeded days differs by less than 0.01.
-const AGING: f64 = 2.0;
-
-/// Time before its caller gives it up at which a prompt that is late goes before others, and its
-/// gain by that. Without it, the largest ones were served less than half as often as all under
-/// load.
-const LAST_CALL: Duration = Duration::from_secs(4);
-const OVERDUE_GAIN: u32 = 2;
-
-/// What is late already ranks after all that is not, by more than any prompt takes.
-const LATE_RANK: u32 = 1_000_000;
-
 /// Milliseconds of reading left at a server at which the next prompt is sent there: the way to
 /// it takes as long.
 const NEARLY_FREE_MS: f64 = 15.0;
@@ -157,36 +144,6 @@
     !need.is_tight() && engine.read_ms(need.prompt, 1) >= LONG_MS
 }
 
-/// How long a long prompt has waited for its turn, and may.
-#[derive(Clone, Copy, Debug)]
-pub struct Wait {
-    /// Time since it came.
-    pub waited: Duration,
-    /// Time from its coming to its first event that is on time.
-    pub aim: Duration,
-    /// Time until its caller gives it up.
-    pub left: Duration,
-}
-
-/// Rank of a long prompt that waits for its turn: the lowest goes first. Those that can still be
-/// on time go first, the shortest of them before others, so that it waits least; who has waited
-/// for long gains. Then those that would soon be given up; the others are late already, and take
-/// what is left.
-pub fn rank(engine: &model::Engine, need: &Need, wait: &Wait) -> u32 {
-    let alone_ms = engine.read_ms(need.prompt, 1);
-    let reading = Duration::try_from_secs_f64(engine.read_ms(need.prompt, MOST_WIDTH) / 1e3);
-    let reading = reading.unwrap_or(Duration::MAX);
-    let parts = wait.waited.as_secs_f64() / wait.aim.as_secs_f64().max(1e-3);
-    let own = (alone_ms / (1.0 + AGING * parts)) as u32;
-    if wait.waited.saturating_add(reading) <= wait.aim {
-        return own;
-    }
-    if wait.left <= reading.saturating_add(LAST_CALL) {
-        return own / OVERDUE_GAIN;
-    }
-    own.saturating_add(LATE_RANK)
-}
-
 /// What a server is kept for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lane {
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -1,7 +1,6 @@
 //! One attempt of a request at one backend server, with those that help it read.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bytes::Bytes;
 use http::response;
@@ -17,18 +16,12 @@
 use super::reserve;
 use super::stream;
 use crate::direct::catalog;
+use crate::direct::patience;
 use crate::direct::register;
 use crate::direct::verdict;
 use crate::edge::event::Event;
 use crate::log_event;
 
-/// Silence of a server that serves a request after which it is asked whether it is there.
-pub const QUIET: Duration = Duration::from_millis(600);
-
-/// Silence before the first event after which a request goes elsewhere though the server says
-/// that it is there: twice the longest pass that placing allows.
-const HUNG: Duration = Duration::from_millis(1_200);
-
 /// Largest answer that is not a stream of events: it is held until it is whole.
 const MOST_WHOLE: usize = 16 << 20;
 
@@ -113,7 +106,7 @@
         let conn = self.pool.conn(&server.id, server.addr, kept).await;
         let mut conn = conn.map_err(|_| verdict::End::Unsent)?;
         let request = self.request(course, &chosen, memory.as_ref(), after);
-        let wait = Wait::new(course, chosen.first_ms);
+        let wait = doubt(course, chosen.first_ms);
         let sent = {
             let sending = conn.send(request);
             tokio::pin!(sending);
@@ -204,7 +197,7 @@
         means: (pool::Conn, Option<reserve::Reservation>),
         head: response::Parts,
         body: body::Incoming,
-        wait: Wait,
+        wait: patience::Doubt,
     ) -> Result<Got, Missed> {
         let answer = self.dialect.answer(&head);
         if answer.not_run || answer.displaced {
@@ -268,7 +261,7 @@
         &self,
         course: &Course,
         server: &register::Record,
-        wait: Wait,
+        wait: patience::Doubt,
     ) -> Option<&'static str> {
         let hung = async {
             loop {
@@ -315,35 +308,12 @@
 }
 
 /// How long an attempt waits before it doubts its server.
-#[derive(Clone, Copy)]
-struct Wait {
-    /// Silence after which the server is asked whether it is there.
-    quiet: Duration,
-    /// Silence after which the request goes elsewhere, or its time ends.
-    hung: Duration,
-}
-
-impl Wait {
-    fn new(course: &Course, first_ms: f64) -> Self {
-        let left = course.left();
-        let predicted = millis(first_ms);
-        let alone = course.engine.zip(course.ask.size);
-        let alone = alone.map_or(0.0, |(engine, size)| engine.read_ms(size.prompt, 1));
-        // A long prompt that moves is read again from its beginning: that must be worth it.
-        let again = millis(alone);
-        let can_move =
-            course.route.repeatable() && course.past.ran + 1 < course.route.most_servers.max(1);
-        let quiet = match course.route.kind {
-            catalog::Kind::Stream => QUIET.max(predicted),
-            catalog::Kind::Safe | catalog::Kind::Unsafe => course.route.objective,
-        };
-        let hung = match course.route.kind {
-            _ if !can_move => left,
-            catalog::Kind::Stream => (HUNG + predicted + again * 4).min(left),
-            catalog::Kind::Safe | catalog::Kind::Unsafe => (course.route.objective * 2).min(left),
-        };
-        Self { quiet, hung }
-    }
+fn doubt(course: &Course, first_ms: f64) -> patience::Doubt {
+    let alone = course.engine.zip(course.ask.size);
+    let alone_ms = alone.map_or(0.0, |(engine, size)| engine.read_ms(size.prompt, 1));
+    let can_move =
+        course.route.repeatable() && course.past.ran + 1 < course.route.most_servers.max(1);
+    patience::Doubt::new(&course.route, can_move, (first_ms, alone_ms), course.left())
 }
 
 /// What the end of a sent attempt without an answer was.
@@ -372,7 +342,3 @@
     let path = uri.path_and_query().map_or("/", |one| one.as_str());
     path.parse().unwrap_or_else(|_| http::Uri::from_static("/"))
 }
-
-fn millis(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
-}
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -9,6 +9,7 @@
 use super::Direct;
 use super::course::Course;
 use crate::direct::board;
+use crate::direct::patience;
 use crate::direct::place;
 use crate::direct::register;
 use crate::edge::event::Event;
@@ -69,12 +70,7 @@
         let state = self.direct.state();
         match self.ticket {
             Some(ticket) => state.board.is_first(now, ticket, self.rank),
-            None => {
-                state
-                    .board
-                    .ahead(now, place::rank(&engine, &need, &course.wait()))
-                    == 0
-            }
+            None => state.board.ahead(now, course.wait().rank(&engine, &need)) == 0,
         }
     }
 
@@ -83,7 +79,7 @@
         let Some(engine) = &course.engine else {
             return;
         };
-        self.rank = place::rank(engine, &course.need(), &course.wait());
+        self.rank = course.wait().rank(engine, &course.need());
         let is_new = self.ticket.is_none();
         let mut state = self.direct.state();
         self.ticket = Some(state.board.wait(self.ticket, self.rank));
@@ -205,7 +201,7 @@
             is_long: course
                 .engine
                 .is_some_and(|one| place::is_long(&one, &course.need())),
-            reads: (now, now + millis(place.first_ms)),
+            reads: (now, now + patience::millis(place.first_ms)),
         };
         let ticket = state.board.enter(now, claim);
         drop(state);
@@ -364,7 +360,3 @@
         Some(alone(at, engine.read_ms(size.prompt, 1)))
     })
 }
-
-fn millis(ms: f64) -> Duration {
-    Duration::try_from_secs_f64(ms / 1e3).unwrap_or_default()
-}
--- a/src/edge/direct/course.rs
+++ b/src/edge/direct/course.rs
@@ -10,29 +10,11 @@
 use crate::direct::board;
 use crate::direct::catalog;
 use crate::direct::model;
+use crate::direct::patience;
 use crate::direct::place;
 use crate::direct::verdict;
 use crate::wire::id;
 
-/// Least silence between two events after which a stream goes elsewhere though its server is
-/// there. Callers wait 2 s at least, and eight times the pause that is still on time.
-const STUCK: Duration = Duration::from_millis(1_500);
-
-/// The same in pauses that are still on time: what moves is read again from its beginning.
-const STUCK_PAUSES: u32 = 5;
-
-/// Time before its caller gives it up at which a short prompt that waits is sent all the same.
-const HOLD_LEFT: Duration = Duration::from_millis(900);
-
-/// How long callers wait for a first event: the longest of a time, of objectives and of pauses
-/// that are still on time.
-const PATIENCE: Duration = Duration::from_secs(2);
-const PATIENCE_AIMS: u32 = 4;
-const PATIENCE_PAUSES: u32 = 8;
-
-/// Time beyond its own reading that a prompt must have left to be worth sending.
-const TURN_LEFT: Duration = Duration::from_millis(300);
-
 /// A caller's request on its way.
 pub struct Course {
     /// What the caller asks.
@@ -66,12 +48,6 @@
 }
 
 impl Course {
-    /// Silence between two events after which it goes elsewhere though its server is there.
-    pub fn stuck(&self) -> Duration {
-        let pauses = self.route.pause.unwrap_or_default() * STUCK_PAUSES;
-        pauses.max(STUCK)
-    }
-
     /// Time that is left.
     pub fn left(&self) -> Duration {
         self.end.saturating_duration_since(Instant::now())
@@ -79,37 +55,20 @@
 
     /// Whether a request that has no place yet may have one in time.
     pub fn may_wait(&self) -> bool {
-        let (Some(engine), Some(size)) = (&self.engine, self.ask.size) else {
-            return false;
-        };
-        let most = engine.memory_tokens * place::MOST_WIDTH as u64 / 2;
-        let fits = size.prompt + self.expected_answer() <= most;
-        let read_ms = engine.read_ms(size.prompt, place::MOST_WIDTH);
-        fits && self.left()
-            > Duration::try_from_secs_f64(read_ms / 1e3).unwrap_or_default() + TURN_LEFT
+        let engine = self.engine.filter(|_| self.ask.size.is_some());
+        engine.is_some_and(|engine| self.wait().may_go_on(&engine, &self.need()))
     }
 
-    /// Whether a short prompt may wait here for a server that is not full. Sent there, it would wait
-    /// in the server's queue and make all that come after it late as well.
+    /// Whether it may wait at the entry while all servers are full.
     pub fn may_hold(&self) -> bool {
-        let (Some(engine), Some(_)) = (&self.engine, self.ask.size) else {
-            return false;
-        };
-        let is_short = !place::is_long(engine, &self.need());
-        is_short && self.past.tried == 0 && self.wait().left > HOLD_LEFT
+        let engine = self.engine.filter(|_| self.ask.size.is_some());
+        self.past.tried == 0
+            && engine.is_some_and(|engine| self.wait().may_hold(&engine, &self.need()))
     }
 
     /// How long it has waited for its first event, and may.
-    pub fn wait(&self) -> place::Wait {
-        let waited = self.began.elapsed();
-        let aim = self.route.objective;
-        let pauses = self.route.pause.unwrap_or_default() * PATIENCE_PAUSES;
-        let patience = (aim * PATIENCE_AIMS).max(pauses).max(PATIENCE);
-        place::Wait {
-            waited,
-            aim,
-            left: self.left().min(patience.saturating_sub(waited)),
-        }
+    pub fn wait(&self) -> patience::Wait {
+        patience::Wait::new(&self.route, self.began.elapsed(), self.left())
     }
 
     /// What placing has to know of a request.
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -23,6 +23,7 @@
 use super::door;
 use super::stream;
 use crate::direct::catalog;
+use crate::direct::patience;
 use crate::direct::verdict;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -268,7 +269,7 @@
             yield Ok(body::Frame::data(first.bytes));
             let limit = time::Instant::from_std(course.end);
             loop {
-                let next = time::timeout_at(limit, time::timeout(course.stuck(), reader.next(attempt::QUIET, || direct.may_move(&course))));
+                let next = time::timeout_at(limit, time::timeout(patience::stuck(&course.route), reader.next(patience::QUIET, || direct.may_move(&course))));
                 let lost = match next.await {
                     Ok(Ok(stream::Next::Piece(piece))) => {
                         watch.passed(piece.events);
--- a/tests/engine_places.rs
+++ b/tests/engine_places.rs
@@ -6,31 +6,20 @@
 use wigeonbarrow::direct::board;
 use wigeonbarrow::direct::board::Board;
 use wigeonbarrow::direct::board::Load;
-use wigeonbarrow::direct::model::Engine;
 use wigeonbarrow::direct::place;
 use wigeonbarrow::direct::place::Lane;
 use wigeonbarrow::direct::place::Need;
 use wigeonbarrow::direct::place::Server;
 use wigeonbarrow::wire::id;
 
-const NOW: Duration = Duration::from_secs(100);
+#[path = "common/engines.rs"]
+mod engines;
 
-fn engine() -> Engine {
-    Engine {
-        slots: 16,
-        memory_tokens: 405_000,
-        stride: 34,
-        step_ms: 1.31,
-        writer_ms: 0.000_917,
-        context_ms_per_k: 0.002_13,
-        read_per_ms: 154.0,
-        pairs_ms_per_m: 0.162,
-        chunk: 2_048,
-        hop_ms: 0.1,
-        usual_prompt: 11_000,
-        usual_answer: 1_266,
-    }
-}
+use engines::engine;
+use engines::long;
+use engines::short;
+
+const NOW: Duration = Duration::from_secs(100);
 
 fn servers(count: usize) -> Vec<Server> {
     let server = |at: usize| Server {
@@ -45,24 +34,6 @@
     (0..count).map(server).collect()
 }
 
-fn short(prompt: u64) -> Need {
-    Need {
-        prompt,
-        answer: 1_200,
-        aim: Duration::from_millis(300),
-        bound_ms: 250,
-        draw: 1,
-    }
-}
-
-fn long(prompt: u64) -> Need {
-    Need {
-        aim: Duration::from_secs(4),
-        bound_ms: 1_000,
-        ..short(prompt)
-    }
-}
-
 fn write_tight(server: &mut Server, writers: u32) {
     server.load = Load {
         writers,
@@ -394,15 +365,6 @@
     assert!(here.is_first(NOW + Duration::from_secs(2), ticket, 900));
 }
 
-fn rank(need: &Need, waited_ms: u64) -> u32 {
-    let wait = place::Wait {
-        waited: Duration::from_millis(waited_ms),
-        aim: Duration::from_secs(4),
-        left: Duration::from_millis(15_000 - waited_ms),
-    };
-    place::rank(&engine(), need, &wait)
-}
-
 /// Who has just come does not go before those that wait and are shorter.
 #[test]
 fn newcomer_waits() {
@@ -421,24 +383,6 @@
     );
 }
 
-#[test]
-fn waiting_gains() {
-    let need = long(182_000);
-    assert!(rank(&need, 0) > rank(&need, 2_000));
-    let shorter = rank(&long(110_000), 0);
-    assert!(shorter < rank(&need, 0) && shorter > rank(&need, 12_000));
-}
-
-/// Who is late already must not make others late: all would be, by a little.
-#[test]
-fn on_time_first() {
-    let late = rank(&long(110_000), 5_000);
-    let large = rank(&long(400_000), 2_000);
-    assert!(large < late, "{large} {late}");
-    let last = rank(&long(110_000), 12_000);
-    assert!(last < large, "before its caller gives it up: {last}");
-}
-
 /// While all servers are slow a request stays where it is.
 #[test]
 fn moves_if_better() {
--- /dev/null
+++ b/tests/request_patience.rs
@@ -0,0 +1,123 @@
+//! How long requests wait, in which order long ones are served, and when a server is doubted.
+
+use std::time::Duration;
+
+use wigeonbarrow::direct::catalog::Kind;
+use wigeonbarrow::direct::catalog::Route;
+use wigeonbarrow::direct::patience;
+use wigeonbarrow::direct::patience::Doubt;
+use wigeonbarrow::direct::patience::Wait;
+use wigeonbarrow::direct::place::Need;
+
+#[path = "common/engines.rs"]
+mod engines;
+
+use engines::engine;
+use engines::long;
+use engines::short;
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn long_route() -> Route {
+    engines::route(Kind::Stream, ms(4_000), Some(ms(1_000)))
+}
+
+fn short_route() -> Route {
+    engines::route(Kind::Stream, ms(300), Some(ms(250)))
+}
+
+fn wait(waited_ms: u64) -> Wait {
+    Wait::new(&long_route(), ms(waited_ms), ms(15_000 - waited_ms))
+}
+
+fn rank(need: &Need, waited_ms: u64) -> u32 {
+    wait(waited_ms).rank(&engine(), need)
+}
+
+#[test]
+fn waiting_gains() {
+    let need = long(182_000);
+    assert!(rank(&need, 0) > rank(&need, 2_000));
+    let shorter = rank(&long(110_000), 0);
+    assert!(shorter < rank(&need, 0) && shorter > rank(&need, 12_000));
+}
+
+/// Who is late already must not make others late: all would be, by a little.
+#[test]
+fn on_time_first() {
+    let late = rank(&long(110_000), 5_000);
+    let large = rank(&long(400_000), 2_000);
+    assert!(large < late, "{large} {late}");
+    let last = rank(&long(110_000), 12_000);
+    assert!(last < large, "before its caller gives it up: {last}");
+}
+
+/// Callers give up a silent stream after the longest of 2 s, four objectives and eight pauses.
+#[test]
+fn callers_give_up() {
+    let left = |route: &Route, waited| Wait::new(route, ms(waited), ms(10_000)).left;
+    assert_eq!(left(&short_route(), 500), ms(1_500));
+    let mut slow = short_route();
+    slow.pause = Some(ms(600));
+    assert_eq!(left(&slow, 500), ms(4_300));
+    slow.objective = ms(1_500);
+    assert_eq!(left(&slow, 500), ms(5_500));
+    assert_eq!(
+        left(&long_route(), 500),
+        ms(10_000),
+        "its deadline comes first"
+    );
+    assert_eq!(left(&short_route(), 3_000), ms(0));
+}
+
+#[test]
+fn short_holds() {
+    let holds = |waited| {
+        let wait = Wait::new(&short_route(), ms(waited), ms(10_000 - waited));
+        wait.may_hold(&engine(), &short(5_000))
+    };
+    assert!(holds(0) && holds(1_000));
+    assert!(!holds(1_200), "it is sent while its caller is still there");
+    assert!(
+        !wait(0).may_hold(&engine(), &long(182_000)),
+        "it takes turns"
+    );
+}
+
+#[test]
+fn too_late_to_begin() {
+    let engine = engine();
+    let may = |need: &Need, left| {
+        Wait::new(&long_route(), ms(15_000 - left), ms(left)).may_go_on(&engine, need)
+    };
+    assert!(may(&long(400_000), 10_000));
+    assert!(!may(&long(400_000), 1_000), "17 engines read it for 0.9 s");
+    assert!(
+        !may(&long(4_000_000), 15_000),
+        "half of their memory at most"
+    );
+}
+
+#[test]
+fn doubts() {
+    let doubt = |route: &Route, can_move, left| Doubt::new(route, can_move, (400.0, 100.0), left);
+    let short = doubt(&short_route(), true, ms(10_000));
+    assert_eq!(short.quiet, patience::QUIET);
+    assert_eq!(short.hung, ms(1_200 + 400 + 4 * 100));
+    assert_eq!(doubt(&short_route(), false, ms(10_000)).hung, ms(10_000));
+    let call = engines::route(Kind::Safe, ms(300), None);
+    assert_eq!(doubt(&call, true, ms(10_000)).hung, ms(600));
+    let over = doubt(&short_route(), true, ms(0));
+    assert!(
+        over.hung > ms(0),
+        "it would be asked for without a pause: {over:?}"
+    );
+}
+
+#[test]
+fn stuck_streams() {
+    assert_eq!(patience::stuck(&short_route()), ms(1_500));
+    assert_eq!(patience::stuck(&long_route()), ms(5_000));
+}
