Long prompts are placed only where their answer would be whole in time

Change: a place counts only if first event, writing and 0.3 s fit before the deadline and the caller's patience; who has no such place now holds nobody up. The last call counts writing too. Test whole_in_time.

--- a/src/direct/patience.rs
+++ b/src/direct/patience.rs
@@ -15,6 +15,9 @@
 /// Time beyond its own reading that a prompt must have left to be worth sending.
 const TURN_LEFT: Duration = Duration::from_millis(300);
 
+/// Writers beside which a long answer is usually written, itself among them.
+const WRITERS: u32 = 4;
+
 /// Time before its caller gives it up at which a short prompt that waits is sent all the same.
 const HOLD_LEFT: Duration = Duration::from_millis(900);
 
@@ -83,7 +86,15 @@
     pub fn may_go_on(&self, engine: &model::Engine, need: &place::Need) -> bool {
         let most = engine.memory_tokens * place::MOST_WIDTH as u64 / 2;
         let fits = need.prompt + need.answer <= most;
-        fits && self.end > fastest(engine, need).saturating_add(TURN_LEFT)
+        fits && self.allows(engine, need, fastest(engine, need))
+    }
+
+    /// Whether an answer would be whole in time if its first event came after `first`. What is cut
+    /// at its deadline was read for nothing, while others waited.
+    pub fn allows(&self, engine: &model::Engine, need: &place::Need, first: Duration) -> bool {
+        let writing = engine.write_time(need.answer, WRITERS, need.prompt * u64::from(WRITERS));
+        let whole = first.saturating_add(writing).saturating_add(TURN_LEFT);
+        self.end > whole && self.left > first
     }
 
     /// Whether a short prompt may wait at the entry for a server that is not full. Sent there, it
@@ -103,7 +114,7 @@
         if self.waited.saturating_add(reading) <= self.aim {
             return own;
         }
-        if self.left <= reading.saturating_add(LAST_CALL) {
+        if !self.allows(engine, need, reading.saturating_add(LAST_CALL)) {
             return own / OVERDUE_GAIN;
         }
         own.saturating_add(LATE_RANK)
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -36,8 +36,9 @@
     Now(Box<Chosen>),
     /// It waits for its turn.
     Later,
-    /// It waits for memory. Others need not wait for that.
-    NoMemory,
+    /// It waits for memory, or for more servers: what is free now would read it too slowly.
+    /// Others need not wait for that.
+    NotNow,
     /// All servers are so full that its first event would be late.
     Full,
     /// No server is known.
@@ -171,11 +172,14 @@
         let servers = self.servers(&mut state, now, &records);
         let any_waits = state.board.any_waits(now);
         let Some(place) = locate(course, &servers, any_waits) else {
-            return Choice::NoMemory;
+            return Choice::NotNow;
         };
         if place.delay_ms > 0.0 {
             return Choice::Later;
         }
+        if !course.allows(&place) {
+            return Choice::NotNow;
+        }
         if course.may_hold() && place.is_full(course.route.objective) {
             return Choice::Full;
         }
@@ -287,7 +291,7 @@
                     Choice::Now(chosen) => return Some(*chosen),
                     Choice::Nowhere => return None,
                     Choice::Later => turn.wait(course),
-                    Choice::NoMemory => turn.leave(),
+                    Choice::NotNow => turn.leave(),
                     Choice::Full => {
                         time::sleep(full_pause(course)).await;
                         continue;
--- a/src/edge/direct/course.rs
+++ b/src/edge/direct/course.rs
@@ -59,6 +59,14 @@
         engine.is_some_and(|engine| self.wait().may_go_on(&engine, &self.need()))
     }
 
+    /// Whether a long prompt would be answered in time at `place`.
+    pub fn allows(&self, place: &place::Place) -> bool {
+        let need = self.need();
+        let engine = self.engine.filter(|one| place::is_long(one, &need));
+        let first = patience::millis(place.first_ms);
+        engine.is_none_or(|engine| self.wait().allows(&engine, &need, first))
+    }
+
     /// Whether it may wait at the entry while all servers are full.
     pub fn may_hold(&self) -> bool {
         let engine = self.engine.filter(|_| self.ask.size.is_some());
--- a/tests/request_patience.rs
+++ b/tests/request_patience.rs
@@ -100,6 +100,25 @@
     );
 }
 
+/// Reading that ends too late for the answer to be written takes others' time for nothing.
+#[test]
+fn whole_in_time() {
+    let need = long(182_000);
+    let allows = |left, first| {
+        let wait = Wait::new(&long_route(), ms(15_000 - left), ms(left));
+        wait.allows(&engine(), &need, ms(first))
+    };
+    assert!(allows(6_000, 2_000));
+    assert!(!allows(4_000, 2_000), "it writes for 3.7 s");
+    let mut hasty = short_route();
+    hasty.pause = None;
+    let wait = Wait::new(&hasty, ms(500), ms(14_000));
+    assert!(
+        !wait.allows(&engine(), &need, ms(2_000)),
+        "its caller has left"
+    );
+}
+
 #[test]
 fn doubts() {
     let doubt = |route: &Route, can_move, left| Doubt::new(route, can_move, (400.0, 100.0), left);
