A long prompt that has just come is not read beside a burst of short ones

In a burst all servers were kept for tight pauses, no lane of reading was left, and the prompt was read on all of them: 455,000 tokens at 20.5 s stretched the pauses of all writers to 1.49 s, and of 156 short prompts in two seconds 14 were on time. Ruled out: overload by short prompts alone (70 a second take 154 of 224 slots). Change: it counts as one that waits. Test long_in_burst fails before.

--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -125,8 +125,10 @@
     servers: &[Server],
     any_waits: bool,
 ) -> Option<Place> {
-    let lanes = lane::lanes(servers, any_waits);
-    if is_long(engine, need) {
+    // A long prompt that has just come needs its lane as one that waits does.
+    let is_long = is_long(engine, need);
+    let lanes = lane::lanes(servers, any_waits || is_long);
+    if is_long {
         return long::find(engine, need, servers, &lanes);
     }
     short::find(engine, need, servers, &lanes)
--- a/tests/engine_places.rs
+++ b/tests/engine_places.rs
@@ -103,6 +103,19 @@
     assert_eq!(place.first, 1, "{place:?}");
 }
 
+/// While short work holds every server, a long prompt that comes is not read beside all of it: 14
+/// servers with 15 writers each would pause for 0.2 s and more, 210 requests late for one.
+#[test]
+fn long_in_burst() {
+    let mut servers = servers(14);
+    for server in &mut servers {
+        write_tight(server, 15);
+    }
+    let need = long(112_000);
+    let place = place::engine(&engine(), &need, &servers, false).expect("there is room");
+    assert!(place.helpers.is_empty(), "{place:?}");
+}
+
 /// A prompt that would stretch its neighbours' pauses over their bound is read in parts.
 #[test]
 fn large_short_split() {
