--- a/src/direct/patience.rs
+++ b/src/direct/patience.rs
@@ -21,6 +21,17 @@
 /// Time before its caller gives it up at which a short prompt that waits is sent all the same.
 const HOLD_LEFT: Duration = Duration::from_millis(900);
 
+/// How much a long prompt gains by waiting: after its aim it ranks as one a third as long.
+/// Between 1 and 4 the mean worth on seven seeded days differs by less than 0.01.
+const AGING: f64 = 2.0;
+
+/// Time before its caller gives it up at which a prompt that is late goes before others, and its
+/// gain by that. Without this and the gain by waiting, the fifth below the largest tenth was answered
+/// at 0.33, all at 0.70, on a day with 78 servers; either alone gives 0.30. Together they cost 0.01
+/// to 0.02 of worth on smaller deployments.
+const LAST_CALL: Duration = Duration::from_secs(4);
+const OVERDUE_GAIN: u32 = 2;
+
 /// What is late already ranks after all that is not, by more than any prompt takes.
 const LATE_RANK: u32 = 1_000_000;
 
@@ -94,15 +105,19 @@
     }
 
     /// Rank of a long prompt that waits for its turn: the lowest goes first. Those that can still
-    /// be on time go first, the shortest of them before others: it brings most for the time that it
-    /// takes. The others are late already, and take what is left. That who waits gains, and that
-    /// those who would soon be given up go before all, cost 0.01 of worth on 40 seeded days.
+    /// be on time go first, the shortest of them before others, so that it waits least; who has
+    /// waited for long gains. Then those that would soon be given up; the others are late already,
+    /// and take what is left.
     pub fn rank(&self, engine: &model::Engine, need: &place::Need) -> u32 {
         let reading = fastest(engine, need);
-        let own = engine.read_ms(need.prompt, 1) as u32;
+        let parts = self.waited.as_secs_f64() / self.aim.as_secs_f64().max(1e-3);
+        let own = (engine.read_ms(need.prompt, 1) / (1.0 + AGING * parts)) as u32;
         if self.waited.saturating_add(reading) <= self.aim {
             return own;
         }
+        if !self.allows(engine, need, reading.saturating_add(LAST_CALL)) {
+            return own / OVERDUE_GAIN;
+        }
         own.saturating_add(LATE_RANK)
     }
 }
