A leader finds where logs agree by refusals alone, one a term

Cause: a step back counted a refusal only if the refused message was sent after the last step. That time came back in whole microseconds and was compared with nanoseconds, so what was sent at the step itself seemed older; the heartbeat in between began at the tail again. A former leader with two or more entries of its own never agreed with the next: with the other voters lost or dark nothing was committed, and no lost disk was taken back. Class: an order decided by comparing clocks of unlike resolution; beside it, progress that no test asked for. Ruled out: the follower's disk, the admission (sight), anything else in that order of events (the scenario passes with clocks of whole microseconds). Change: no times are compared. While a follower is probed its next index only falls, and it gets messages without entries until one is accepted; a refusal passes all entries of the term that differs.

--- a/src/control/consensus.rs
+++ b/src/control/consensus.rs
@@ -124,12 +124,13 @@
     matched: u64,
     /// Next entry to send. Invariant: over `matched`.
     next: u64,
+    /// Whether it is being found out where the logs agree. Invariant: while it is, `next` only
+    /// falls and messages hold no entries.
+    probing: bool,
     /// When something was sent last.
     sent: Duration,
     /// Sending time of the newest message that it answered.
     answered: Duration,
-    /// Sending time of the newest message whose refusal counted.
-    probe: Duration,
     /// Snapshot under way: index, bytes arrived, when the last piece was sent.
     snapshot: Option<(u64, u64, Duration)>,
     refusals: watch::Refusals,
--- a/src/control/consensus/replication.rs
+++ b/src/control/consensus/replication.rs
@@ -40,13 +40,43 @@
         Self {
             matched: 0,
             next: tail + 1,
+            probing: false,
             sent: Duration::ZERO,
             answered: now,
-            probe: Duration::ZERO,
             snapshot: None,
             refusals: Refusals::default(),
         }
     }
+
+    /// All up to `index` is synced there.
+    fn agreed(&mut self, index: u64) {
+        self.matched = self.matched.max(index);
+        self.next = self.next.max(self.matched + 1);
+        // An answer to an older message says nothing of what comes just before `next`.
+        if self.next == self.matched + 1 {
+            self.probing = false;
+        }
+    }
+
+    /// It refused a message; the logs may agree up to `index`.
+    ///
+    /// Which message it was is not asked: while it is probed `next` falls and never rises, so
+    /// late, doubled and reordered refusals change nothing and each new one brings it nearer.
+    /// Telling them apart by their time of sending failed where clocks are finer than the time
+    /// on the wire: the refusals of a former leader never led below its own last entry.
+    fn refused(&mut self, index: u64) {
+        self.refusals.count += 1;
+        self.refusals.may_agree = Some(index);
+        let next = self.next.min(index + 1).max(self.matched + 1);
+        if self.probing && next == self.next {
+            self.refusals.ignored += 1;
+            return;
+        }
+        self.next = next;
+        self.probing = true;
+        // The next message goes at once.
+        self.sent = Duration::ZERO;
+    }
 }
 
 impl Raft {
@@ -110,7 +140,7 @@
             }
             peer.snapshot = None;
             let in_flight = peer.next - 1 - peer.matched;
-            let room = peer.next <= tail && in_flight < MAX_IN_FLIGHT;
+            let room = !peer.probing && peer.next <= tail && in_flight < MAX_IN_FLIGHT;
             let due = now >= peer.sent + heartbeat;
             if !room && !due {
                 return;
@@ -163,7 +193,7 @@
         }
         let known = prev.index <= self.commit || self.log.term(prev.index) == Some(prev.term);
         if !known {
-            let index = (prev.index - 1).min(self.log.tail().index);
+            let index = self.may_agree(prev.index);
             let agreed = false;
             return self.send(
                 from,
@@ -215,6 +245,21 @@
         self.draw_deadline(now);
     }
 
+    /// The last index below `refused` at which a leader's log may equal this one: before all
+    /// entries of the term that differs there, so that a long tail takes one refusal a term.
+    fn may_agree(&self, refused: u64) -> u64 {
+        let tail = self.log.tail().index;
+        if refused > tail {
+            return tail;
+        }
+        let term = self.log.term(refused);
+        let mut index = refused - 1;
+        while index > self.commit && self.log.term(index) == term {
+            index -= 1;
+        }
+        index
+    }
+
     fn hard_is_synced(&self) -> bool {
         self.write.hard.is_none() && !self.writes.iter().any(|(_, _, hard)| *hard)
     }
@@ -247,21 +292,10 @@
         };
         peer.answered = peer.answered.max(sent);
         if agreed {
-            peer.matched = peer.matched.max(index);
-            peer.next = peer.next.max(peer.matched + 1);
+            peer.agreed(index);
             self.advance_commit();
-            self.replicate_to(now, from);
-            return self.hand_over_if_ready(now);
-        }
-        peer.refusals.count += 1;
-        peer.refusals.may_agree = Some(index);
-        if sent >= peer.probe && peer.snapshot.is_none() {
-            // Answers to what was sent before this one count no more.
-            peer.probe = now;
-            peer.sent = Duration::ZERO;
-            peer.next = peer.next.min(index + 1).max(peer.matched + 1);
         } else {
-            peer.refusals.ignored += 1;
+            peer.refused(index);
         }
         self.replicate_to(now, from);
         self.hand_over_if_ready(now);
