Failing tests: drawn losses on open membership, and two that ask for votes at once

drawn_losses checks progress as well as safety: after each series of overlapping losses a new entry is decided and all vote within six election timeouts, then the same after one disk is lost and all lose power.

--- a/tests/consensus_votes.rs
+++ b/tests/consensus_votes.rs
@@ -299,3 +299,22 @@
     assert!(hails.iter().all(|env| env.body == Body::Hail));
     assert!(!hails.is_empty());
 }
+
+/// Of two that ask at once the one with the longer log, or else the higher address, goes on: if
+/// both went on, each would vote for itself and a whole timeout would be lost.
+#[test]
+fn asked_at_once() {
+    for (other, terms, yields) in [(2, &[2, 3][..], true), (2, &[2, 3, 3][..], false)] {
+        let mut raft = raft(saved(3, terms));
+        raft.tick(LATER);
+        assert_eq!(raft.standing(), Standing::Candidate, "it asks");
+        let tail = Tail { term: 3, index: 3 };
+        let ask = Body::PreVote { term: 4, tail };
+        raft.receive(LATER, from(other, 3, ask));
+        let (term, granted) = (4, true);
+        raft.receive(LATER, from(3, 3, Body::PreVoted { term, granted }));
+        sync(&mut raft);
+        let stands = raft.term() == 4;
+        assert_eq!(stands, !yields, "own log {terms:?}");
+    }
+}
--- /dev/null
+++ b/tests/open_schedules.rs
@@ -0,0 +1,320 @@
+//! Series of losses, drawn from seeds, on members that join and leave by themselves: what was
+//! acknowledged stays, and once the last loss has ended the members go on in time.
+//!
+//! At most one disk is lost until its successor counts. All else may overlap: cuts of the leader
+//! or another, one way or both, losses of power of one or all, with torn writes, and freezes.
+
+#[path = "common/sim.rs"]
+mod sim;
+#[path = "common/work.rs"]
+mod work;
+
+use std::panic;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use sim::Sim;
+use sim::disk::Tail;
+use sim::ms;
+use wigeonbarrow::control::replica::Replica;
+use wigeonbarrow::wire::agree::Command;
+use wigeonbarrow::wire::agree::Document;
+use wigeonbarrow::wire::agree::Verdict;
+
+const FIRST_SEED: u64 = 50_000;
+const CASES: u64 = 4_000;
+const THREADS: usize = 4;
+
+/// Six election timeouts of 0.8 s. Two are a whole election with its timer drawn longest, and
+/// votes may be split; a disk that was lost is admitted by the leader after that.
+const GO_ON: Duration = ms(4_800);
+
+const LIMIT: Duration = ms(60_000);
+
+#[derive(Clone, Copy, Debug)]
+enum Loss {
+    CutBoth,
+    CutOut,
+    CutIn,
+    Freeze,
+    Power(Tail),
+    AllPower(Tail),
+    Disk,
+}
+
+struct Case {
+    sim: Sim,
+    rng: StdRng,
+    /// Highest version sent.
+    version: u64,
+    keys: u64,
+    /// The VM whose disk was lost last.
+    empty: Option<usize>,
+    told: Vec<String>,
+}
+
+impl Case {
+    fn new(seed: u64) -> Self {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let members = if rng.random_range(0..4) == 0 { 5 } else { 3 };
+        let mut case = Self {
+            sim: Sim::open(members, 3, seed),
+            rng,
+            version: 0,
+            keys: 0,
+            empty: None,
+            told: Vec::new(),
+        };
+        case.work();
+        assert!(case.sim.run_until(LIMIT, is_whole), "no first cluster");
+        case
+    }
+
+    /// More for the members to do, by two clients.
+    fn work(&mut self) {
+        for _ in 0..2 {
+            let mut commands = Vec::new();
+            for _ in 0..self.rng.random_range(1..6) {
+                self.keys += 1;
+                commands.push(work::claim(self.keys, u128::from(self.keys)));
+            }
+            self.version += self.rng.random_range(1..4);
+            let version = self.version;
+            let packed = format!("text of {version}").into();
+            commands.push(Command::Publish(Document { version, packed }));
+            self.sim.add_client(commands);
+        }
+    }
+
+    fn draw(&mut self) -> Loss {
+        const TAILS: [Tail; 3] = [Tail::Lost, Tail::Torn, Tail::Kept];
+        let tail = TAILS[self.rng.random_range(0..3)];
+        match self.rng.random_range(0..10) {
+            0 | 1 => Loss::CutBoth,
+            2 => Loss::CutOut,
+            3 => Loss::CutIn,
+            4 => Loss::Freeze,
+            5 | 6 => Loss::Power(tail),
+            7 => Loss::AllPower(tail),
+            _ => Loss::Disk,
+        }
+    }
+
+    /// The leader, or as often as not any.
+    fn target(&mut self) -> usize {
+        let any = self.rng.random_range(0..self.sim.vms.len());
+        let leader = self
+            .sim
+            .leader()
+            .filter(|_| self.rng.random_range(0..2) == 0);
+        leader.unwrap_or(any)
+    }
+
+    fn strike(&mut self) {
+        let loss = self.draw();
+        let at = self.target();
+        let back = ms(self.rng.random_range(50..4_000));
+        if matches!(loss, Loss::Disk) && !self.may_lose_disk() {
+            return;
+        }
+        self.told
+            .push(format!("{loss:?} at {at}, back after {back:?}"));
+        let others: Vec<usize> = (0..self.sim.vms.len()).filter(|one| *one != at).collect();
+        match loss {
+            Loss::CutBoth => {
+                let both = others.iter().flat_map(|one| [(at, *one), (*one, at)]);
+                self.sim.net.cut.extend(both);
+            }
+            Loss::CutOut => self.sim.net.cut.extend(others.iter().map(|one| (at, *one))),
+            Loss::CutIn => self.sim.net.cut.extend(others.iter().map(|one| (*one, at))),
+            Loss::Freeze => self.sim.vms[at].frozen = true,
+            Loss::Power(tail) => self.power(at, tail, back),
+            Loss::AllPower(tail) => {
+                for one in 0..self.sim.vms.len() {
+                    let back = ms(self.rng.random_range(50..1_000));
+                    self.power(one, tail, back);
+                }
+            }
+            Loss::Disk => {
+                self.sim.kill(at, Tail::Lost);
+                self.sim.lose_disk(at);
+                self.empty = Some(at);
+                self.sim.restart_after(at, ms(100));
+            }
+        }
+    }
+
+    fn power(&mut self, at: usize, tail: Tail, back: Duration) {
+        self.sim.kill(at, tail);
+        self.sim.restart_after(at, back);
+    }
+
+    /// Whether whoever lost its disk last counts again, and has its time to catch up.
+    fn may_lose_disk(&self) -> bool {
+        let Some(empty) = self.empty else {
+            return true;
+        };
+        let Some(leader) = self.sim.leader().filter(|at| self.sim.has_lease(*at)) else {
+            return false;
+        };
+        let last = self.sim.vms[leader].replica.as_ref().expect("it leads");
+        let one = self.sim.vms[empty].replica.as_ref();
+        one.is_some_and(|one| {
+            last.raft().membership().votes(&one.raft().me())
+                && one.raft().durable() == last.raft().commit()
+        })
+    }
+
+    fn wait(&mut self, least: u64, most: u64) {
+        let time = ms(self.rng.random_range(least..most));
+        self.sim.run_until(time, |_| false);
+    }
+
+    fn run(&mut self) {
+        for _ in 0..self.rng.random_range(1..7) {
+            self.work();
+            self.wait(0, 400);
+            self.strike();
+            self.wait(0, 3_000);
+            if self.rng.random_range(0..3) == 0 {
+                self.heal();
+            }
+        }
+        self.heal();
+        self.go_on("after the last loss");
+        self.work();
+        self.wait(20, 600);
+        self.sim.run_until(GO_ON, is_whole);
+        let wiped = self.rng.random_range(0..self.sim.vms.len());
+        self.told.push(format!("disk {wiped} lost, power of all"));
+        (0..self.sim.vms.len()).for_each(|at| self.sim.kill(at, Tail::Lost));
+        self.sim.lose_disk(wiped);
+        (0..self.sim.vms.len()).for_each(|at| self.sim.start(at));
+        self.go_on("after the end");
+    }
+
+    fn heal(&mut self) {
+        self.told.push("healed".to_owned());
+        self.sim.heal_after(Duration::ZERO);
+        self.sim.run_until(ms(2), |_| false);
+    }
+
+    /// A new entry is decided, all vote, and nothing that was acknowledged is missing.
+    fn go_on(&mut self, when: &str) {
+        let held = self.acknowledged();
+        let version = self.newest();
+        assert!(version.is_some(), "{when} nothing is decided");
+        assert!(version >= held, "{when} {held:?} is gone: {version:?}");
+        let whole = self.sim.run_until(GO_ON, is_whole);
+        assert!(whole, "{when} not all vote and agree");
+    }
+
+    /// Highest version acknowledged.
+    fn acknowledged(&self) -> Option<u64> {
+        let versions = self.sim.done.iter().filter_map(|one| match &one.command {
+            Command::Publish(document) => Some(document.version),
+            _ => None,
+        });
+        versions.max()
+    }
+
+    /// The newest version, as an order in the log tells it.
+    fn newest(&mut self) -> Option<u64> {
+        let is_read = |one: &sim::Done| one.command == Command::Newest;
+        let before = self.sim.done.iter().filter(|one| is_read(one)).count();
+        self.sim.add_client(vec![Command::Newest]);
+        let answered = |sim: &Sim| sim.done.iter().filter(|one| is_read(one)).count() > before;
+        self.sim.run_until(GO_ON, answered);
+        let read = self.sim.done.iter().filter(|one| is_read(one)).nth(before);
+        match &read?.verdict {
+            Verdict::Newest(document) => Some(document.as_ref().map_or(0, |one| one.version)),
+            _ => None,
+        }
+    }
+}
+
+/// Whether all vote, in the lives that they are in, and hold all that is committed.
+fn is_whole(sim: &Sim) -> bool {
+    let Some(leader) = sim.leader() else {
+        return false;
+    };
+    let last = sim.vms[leader].replica.as_ref().expect("it leads").raft();
+    let mut all = sim
+        .vms
+        .iter()
+        .map(|vm| vm.replica.as_ref().map(Replica::raft));
+    last.commit() == last.log().tail().index
+        && all.all(|one| {
+            one.is_some_and(|one| {
+                last.membership().votes(&one.me()) && one.durable() == last.commit()
+            })
+        })
+}
+
+/// What happened, if it failed.
+fn play(seed: u64) -> Result<(), String> {
+    let mut told = Vec::new();
+    let ended = panic::catch_unwind(panic::AssertUnwindSafe(|| {
+        let mut case = Case::new(seed);
+        let ended = panic::catch_unwind(panic::AssertUnwindSafe(|| case.run()));
+        told.append(&mut case.told);
+        if let Err(why) = ended {
+            panic::resume_unwind(why);
+        }
+    }));
+    ended.map_err(|why| {
+        let text = why.downcast_ref::<String>().cloned();
+        let text = text.or_else(|| why.downcast_ref::<&str>().map(ToString::to_string));
+        format!("{}; {}", text.unwrap_or_default(), told.join("; "))
+    })
+}
+
+/// Plays `seeds`: those that failed, and why.
+fn play_all(seeds: std::ops::Range<u64>) -> Vec<(u64, String)> {
+    let next = AtomicU64::new(seeds.start);
+    let work = || {
+        let mut failed = Vec::new();
+        loop {
+            let seed = next.fetch_add(1, Ordering::Relaxed);
+            if seed >= seeds.end {
+                return failed;
+            }
+            if let Err(why) = play(seed) {
+                failed.push((seed, why));
+            }
+        }
+    };
+    thread::scope(|scope| {
+        let threads: Vec<_> = (0..THREADS).map(|_| scope.spawn(work)).collect();
+        let failed = threads.into_iter().map(|one| one.join().expect("a thread"));
+        failed.flatten().collect()
+    })
+}
+
+#[test]
+fn drawn_losses() {
+    let from_env = |name: &str, or: u64| {
+        let given = std::env::var(name).ok();
+        given.map_or(or, |text| text.parse().expect("a number"))
+    };
+    let first = from_env("OPEN_SCHEDULES_SEED", FIRST_SEED);
+    let count = from_env("OPEN_SCHEDULES_CASES", CASES);
+    println!("open schedules: {count} cases from seed {first}");
+    panic::set_hook(Box::new(|_| {}));
+    let mut failed = play_all(first..first + count);
+    let _ = panic::take_hook();
+    failed.sort_unstable();
+    for (seed, why) in failed.iter().take(20) {
+        println!("seed {seed}: {why}");
+    }
+    assert!(
+        failed.is_empty(),
+        "{} of {count} cases failed",
+        failed.len()
+    );
+}
