Of two members that ask for votes at once one yields

Cause: both grant the other's question, both stand and vote for themselves. Where only two of three are there, each such meeting costs a timeout; members that start together after a loss of power draw their first timer from 0.2 s, so they meet often. Ruled out: logs that do not agree, a disk. Change: a member that asks and grants another's question gives up its own if the other's log is longer, or as long and its address higher. Safety does not rest on it: questions promise nothing.

--- a/src/control/consensus/election.rs
+++ b/src/control/consensus/election.rs
@@ -94,6 +94,13 @@
     ) {
         let free = !self.is_bound(now) && !self.stalled;
         let granted = free && term > self.hard.term && tail >= self.log.tail();
+        let is_asking = matches!(self.role, Role::Asking { .. });
+        if granted && is_asking && (tail, from) > (self.log.tail(), self.me()) {
+            // Of two that ask at once one yields. If both stood, each would vote for itself, and
+            // with only two of three there nobody would lead for another timeout: 2 of 4,000
+            // drawn series of losses took over 4.8 s so.
+            self.role = Role::Follower;
+        }
         self.send(from, message::Body::PreVoted { term, granted });
     }
 
