An entry that starts is ready once whoever is there has announced itself

Cause: a fresh entry was ready as soon as it knew one server of each service. Sidecars tell an entry again after a second where nothing changed, so for up to that time it knew only some; when just that one left, all was refused with no_server. Ruled out: a lapse of the other server's lease (the failing run's logs show none).

--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -34,6 +34,11 @@
 /// it says that it is ready: a lease, in which whoever is there has done so.
 const GATHER: Duration = Duration::from_secs(3);
 
+/// Time from a start in which whoever is there announces itself: a sidecar that told the entry's
+/// former life does so again after a second at the latest, and looks each quarter of one. An entry
+/// that was ready sooner refused all (`no_server`) when the one server that it knew left.
+const SETTLE: Duration = Duration::from_millis(1_250);
+
 /// Settings of the HTTP listener.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -129,7 +134,9 @@
     if node.entry().is_some() && node.store().revision() == 0 {
         return (Status::ServiceUnavailable, "no configuration yet\n");
     }
-    if node.now() < GATHER && !gathered(node).await {
+    let now = node.now();
+    let is_settling = node.entry().is_some() && now < SETTLE;
+    if is_settling || (now < GATHER && !gathered(node).await) {
         return (
             Status::ServiceUnavailable,
             "backend servers not known yet\n",
--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -60,7 +60,7 @@
     applied: u64,
     revision: u64,
     /// Never comes back.
-    gone: bool,
+    pub gone: bool,
 }
 
 #[derive(Clone)]
@@ -86,6 +86,7 @@
 }
 
 pub struct Done {
+    pub client: usize,
     pub command: Command,
     pub verdict: Verdict,
     pub floor: u64,
@@ -194,7 +195,8 @@
         });
     }
 
-    pub fn add_client(&mut self, commands: Vec<Command>) {
+    /// A client that puts these: its number.
+    pub fn add_client(&mut self, commands: Vec<Command>) -> usize {
         let client = Client {
             left: commands.into(),
             ..Client::default()
@@ -202,6 +204,7 @@
         self.clients.push(client);
         let at = self.clients.len() - 1;
         self.after(ms(at as u64 * 3), What::Ask(at));
+        at
     }
 
     fn after(&mut self, delay: Duration, what: What) {
@@ -247,7 +250,11 @@
         let mut replica = replica.expect("the snapshot decodes");
         replica.compact_each(self.compact);
         if self.open.is_some() {
-            replica.know(self.vms.iter().map(|vm| vm.addr).collect(), None);
+            // As the processes' greetings do: all learn of whoever comes.
+            let addrs: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.addr).collect();
+            let others = self.vms.iter_mut().filter_map(|vm| vm.replica.as_mut());
+            others.for_each(|other| other.know(addrs.clone(), None));
+            replica.know(addrs, None);
         }
         let vm = &mut self.vms[at];
         vm.epoch += 1;
@@ -650,6 +657,7 @@
         one.left.pop_front();
         let floor = one.floor;
         self.done.push(Done {
+            client,
             command,
             verdict,
             floor,
--- a/tests/open_schedules.rs
+++ b/tests/open_schedules.rs
@@ -1,8 +1,9 @@
 //! Series of losses, drawn from seeds, on members that join and leave by themselves: what was
 //! acknowledged stays, and once the last loss has ended the members go on in time.
 //!
-//! At most one disk is lost until its successor counts. All else may overlap: cuts of the leader
-//! or another, one way or both, losses of power of one or all, with torn writes, and freezes.
+//! At most one disk is lost, or VM replaced, until its successor counts. All else may overlap: cuts of
+//! the leader or another, one way or both, losses of power of one or all, with torn writes, freezes, and
+//! newcomers. At the end all verdicts, reads among them, are those of one order in time.
 
 #[path = "common/sim.rs"]
 mod sim;
@@ -21,6 +22,7 @@
 use sim::Sim;
 use sim::disk::Tail;
 use sim::ms;
+use wigeonbarrow::control::consensus;
 use wigeonbarrow::control::replica::Replica;
 use wigeonbarrow::wire::agree::Command;
 use wigeonbarrow::wire::agree::Document;
@@ -34,6 +36,12 @@
 /// votes may be split; a disk that was lost is admitted by the leader after that.
 const GO_ON: Duration = ms(4_800);
 
+/// Three election timeouts of silence, after which a VM that never comes back is replaced.
+const REPLACED: Duration = ms(2_400);
+
+/// Most VMs, those that are gone among them.
+const MOST: usize = 8;
+
 const LIMIT: Duration = ms(60_000);
 
 #[derive(Clone, Copy, Debug)]
@@ -45,6 +53,8 @@
     Power(Tail),
     AllPower(Tail),
     Disk,
+    Newcomer,
+    Replace,
 }
 
 struct Case {
@@ -87,6 +97,8 @@
             let version = self.version;
             let packed = format!("text of {version}").into();
             commands.push(Command::Publish(Document { version, packed }));
+            let at = self.rng.random_range(0..commands.len());
+            commands.insert(at, Command::Newest);
             self.sim.add_client(commands);
         }
     }
@@ -94,13 +106,15 @@
     fn draw(&mut self) -> Loss {
         const TAILS: [Tail; 3] = [Tail::Lost, Tail::Torn, Tail::Kept];
         let tail = TAILS[self.rng.random_range(0..3)];
-        match self.rng.random_range(0..10) {
+        match self.rng.random_range(0..12) {
             0 | 1 => Loss::CutBoth,
             2 => Loss::CutOut,
             3 => Loss::CutIn,
             4 => Loss::Freeze,
             5 | 6 => Loss::Power(tail),
             7 => Loss::AllPower(tail),
+            8 => Loss::Newcomer,
+            9 => Loss::Replace,
             _ => Loss::Disk,
         }
     }
@@ -119,7 +133,12 @@
         let loss = self.draw();
         let at = self.target();
         let back = ms(self.rng.random_range(50..4_000));
-        if matches!(loss, Loss::Disk) && !self.may_lose_disk() {
+        let takes_disk = matches!(loss, Loss::Disk | Loss::Replace);
+        let adds = matches!(loss, Loss::Newcomer | Loss::Replace);
+        if self.sim.vms[at].gone
+            || (takes_disk && !self.may_lose_disk())
+            || (adds && self.sim.vms.len() >= MOST)
+        {
             return;
         }
         self.told
@@ -146,9 +165,20 @@
                 self.empty = Some(at);
                 self.sim.restart_after(at, ms(100));
             }
+            Loss::Newcomer => self.newcomer(),
+            Loss::Replace => {
+                self.sim.lose_for_good(at);
+                self.newcomer();
+                self.empty = Some(self.sim.vms.len() - 1);
+            }
         }
     }
 
+    fn newcomer(&mut self) {
+        self.sim.add_vm();
+        self.sim.start(self.sim.vms.len() - 1);
+    }
+
     fn power(&mut self, at: usize, tail: Tail, back: Duration) {
         self.sim.kill(at, tail);
         self.sim.restart_after(at, back);
@@ -164,10 +194,13 @@
         };
         let last = self.sim.vms[leader].replica.as_ref().expect("it leads");
         let one = self.sim.vms[empty].replica.as_ref();
-        one.is_some_and(|one| {
-            last.raft().membership().votes(&one.raft().me())
-                && one.raft().durable() == last.raft().commit()
-        })
+        // Members in force that are not committed may be gone with their leader.
+        let last = last.raft();
+        none_gone(&self.sim, last)
+            && last.commit() == last.log().tail().index
+            && one.is_some_and(|one| {
+                last.membership().votes(&one.raft().me()) && one.raft().durable() == last.commit()
+            })
     }
 
     fn wait(&mut self, least: u64, most: u64) {
@@ -189,13 +222,27 @@
         self.go_on("after the last loss");
         self.work();
         self.wait(20, 600);
-        self.sim.run_until(GO_ON, is_whole);
-        let wiped = self.rng.random_range(0..self.sim.vms.len());
+        self.sim.run_until(self.bound(), is_whole);
+        let left = (0..self.sim.vms.len()).filter(|at| !self.sim.vms[*at].gone);
+        let left: Vec<usize> = left.collect();
+        let wiped = left[self.rng.random_range(0..left.len())];
         self.told.push(format!("disk {wiped} lost, power of all"));
         (0..self.sim.vms.len()).for_each(|at| self.sim.kill(at, Tail::Lost));
         self.sim.lose_disk(wiped);
         (0..self.sim.vms.len()).for_each(|at| self.sim.start(at));
         self.go_on("after the end");
+        assert!(self.sim.run(LIMIT), "some commands are never decided");
+        self.sim.check_end();
+    }
+
+    fn bound(&self) -> Duration {
+        let is_replaced = self.sim.vms.iter().any(|vm| vm.gone);
+        GO_ON
+            + if is_replaced {
+                REPLACED
+            } else {
+                Duration::ZERO
+            }
     }
 
     fn heal(&mut self) {
@@ -210,7 +257,7 @@
         let version = self.newest();
         assert!(version.is_some(), "{when} nothing is decided");
         assert!(version >= held, "{when} {held:?} is gone: {version:?}");
-        let whole = self.sim.run_until(GO_ON, is_whole);
+        let whole = self.sim.run_until(self.bound(), is_whole);
         assert!(whole, "{when} not all vote and agree");
     }
 
@@ -225,12 +272,10 @@
 
     /// The newest version, as an order in the log tells it.
     fn newest(&mut self) -> Option<u64> {
-        let is_read = |one: &sim::Done| one.command == Command::Newest;
-        let before = self.sim.done.iter().filter(|one| is_read(one)).count();
-        self.sim.add_client(vec![Command::Newest]);
-        let answered = |sim: &Sim| sim.done.iter().filter(|one| is_read(one)).count() > before;
-        self.sim.run_until(GO_ON, answered);
-        let read = self.sim.done.iter().filter(|one| is_read(one)).nth(before);
+        let client = self.sim.add_client(vec![Command::Newest]);
+        let answered = |sim: &Sim| sim.done.iter().any(|one| one.client == client);
+        self.sim.run_until(self.bound(), answered);
+        let read = self.sim.done.iter().find(|one| one.client == client);
         match &read?.verdict {
             Verdict::Newest(document) => Some(document.as_ref().map_or(0, |one| one.version)),
             _ => None,
@@ -238,17 +283,22 @@
     }
 }
 
+/// Whether none that never comes back votes. Until then it counts as the one that is lost.
+fn none_gone(sim: &Sim, last: &consensus::Raft) -> bool {
+    let mut gone = sim.vms.iter().filter(|vm| vm.gone);
+    gone.all(|vm| last.membership().voter_at(vm.addr).is_none())
+}
+
 /// Whether all vote, in the lives that they are in, and hold all that is committed.
 fn is_whole(sim: &Sim) -> bool {
     let Some(leader) = sim.leader() else {
         return false;
     };
     let last = sim.vms[leader].replica.as_ref().expect("it leads").raft();
-    let mut all = sim
-        .vms
-        .iter()
-        .map(|vm| vm.replica.as_ref().map(Replica::raft));
-    last.commit() == last.log().tail().index
+    let left = sim.vms.iter().filter(|vm| !vm.gone);
+    let mut all = left.map(|vm| vm.replica.as_ref().map(Replica::raft));
+    none_gone(sim, last)
+        && last.commit() == last.log().tail().index
         && all.all(|one| {
             one.is_some_and(|one| {
                 last.membership().votes(&one.me()) && one.durable() == last.commit()
