A fresh process calls control once a second at most; callers are noted by members of a cluster only

Read as a newcomer: where control is gone each fresh process asked every 50 ms for ever; a member without a cluster noted all others as waiting; a full list of callers forgot known ones.

--- a/src/control/consensus/replication.rs
+++ b/src/control/consensus/replication.rs
@@ -62,8 +62,8 @@
     ///
     /// Which message it was is not asked: while it is probed `next` falls and never rises, so
     /// late, doubled and reordered refusals change nothing and each new one brings it nearer.
-    /// Telling them apart by their time of sending failed where clocks are finer than the time
-    /// on the wire: the refusals of a former leader never led below its own last entry.
+    /// Told apart by their time of sending they must not be: where clocks are finer than the time
+    /// on the wire, every second one seems too old, and a former leader never agrees.
     fn refused(&mut self, index: u64) {
         self.refusals.count += 1;
         self.refusals.may_agree = Some(index);
--- a/src/control/consensus/watch.rs
+++ b/src/control/consensus/watch.rs
@@ -74,13 +74,15 @@
         callers.retain(|_, (_, last)| now < *last + CALLS_HOLD);
     }
 
-    /// Notes a call of a process that may wait to be admitted.
+    /// Notes a call of a process that may wait to be admitted to this member's cluster.
     pub(super) fn note_call(&mut self, now: Duration, from: member::Member) {
-        if self.membership().votes(&from) || self.watch.callers.len() >= MAX_CALLERS {
+        if self.hard.cluster == 0 || self.membership().votes(&from) {
             return;
         }
-        let call = self.watch.callers.entry(from).or_insert((now, now));
-        call.1 = now;
+        let callers = &mut self.watch.callers;
+        if callers.len() < MAX_CALLERS || callers.contains_key(&from) {
+            callers.entry(from).or_insert((now, now)).1 = now;
+        }
     }
 
     /// How long the oldest entries of this leader have waited for their commit, none being
--- a/src/edge/control/watch.rs
+++ b/src/edge/control/watch.rs
@@ -34,7 +34,7 @@
 
 /// The gauges of the control role. Labels are members and callers, of which there are few.
 #[derive(Clone, Default)]
-struct Gauged {
+struct Metrics {
     leads: Gauge,
     term: Gauge,
     commit: Gauge,
@@ -51,7 +51,7 @@
 
 /// What was told, and when.
 pub struct Watch {
-    gauges: Gauged,
+    gauges: Metrics,
     /// When the wait for a commit was told last, if it has not ended.
     waits_told: Option<Duration>,
     /// Callers that were told of, and when.
@@ -61,7 +61,7 @@
 impl Watch {
     /// Registers the gauges.
     pub fn new(metrics: &metric::Registry) -> Self {
-        let gauges = Gauged::default();
+        let gauges = Metrics::default();
         let own = gauges.clone();
         metrics.with(|registry| {
             let sub = registry.sub_registry_with_prefix("control");
--- a/src/edge/direct/publish.rs
+++ b/src/edge/direct/publish.rs
@@ -18,9 +18,10 @@
 /// a second.
 const TIMEOUT: Duration = Duration::from_millis(900);
 
-/// Pause before a quorum is asked again which document is the newest. Each question is an entry
-/// of the log, so a core that answers slowly is not pressed.
-const CONFIRM_PAUSE: Duration = Duration::from_millis(200);
+/// Pauses before a quorum is asked again which document is the newest, doubled from the first to
+/// the last: a restart of the whole has a leader within half a second, and where control is
+/// gone each process calls it once a second.
+const CONFIRM_PAUSES: [Duration; 2] = [Duration::from_millis(50), Duration::from_secs(1)];
 
 /// What became of a change.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -70,12 +71,14 @@
 
     /// Asks a quorum once since the start which document is the newest, until it tells.
     pub async fn confirm(self: Arc<Self>) {
+        let [mut pause, most] = CONFIRM_PAUSES;
         loop {
-            let newest = agree::Command::Newest;
-            if let agree::Verdict::Newest(document) = self.node.propose(newest, TIMEOUT).await {
+            let told = self.node.propose_once(&agree::Command::Newest).await;
+            if let Some(agree::Verdict::Newest(document)) = told {
                 return self.confirmed(document);
             }
-            time::sleep(CONFIRM_PAUSE).await;
+            time::sleep(pause).await;
+            pause = (pause * 2).min(most);
         }
     }
 
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -236,8 +236,12 @@
         verdict.unwrap_or(agree::Verdict::Unavailable)
     }
 
-    /// Tries its own control role, else each control process in turn.
-    async fn propose_once(self: &Arc<Self>, command: &agree::Command) -> Option<agree::Verdict> {
+    /// Puts a command once: to its own control role, else to each control process in turn until
+    /// one answers.
+    pub(crate) async fn propose_once(
+        self: &Arc<Self>,
+        command: &agree::Command,
+    ) -> Option<agree::Verdict> {
         if let Some(control) = self.control() {
             let verdict = control.propose(command.clone()).await;
             return Some(verdict).filter(|verdict| *verdict != agree::Verdict::Unavailable);
