Reasons of the thresholds for several long prompts at once name their figures

Cause: read as a newcomer, a constant gave a reason that a prompt of 900,000 tokens contradicts (pairs count), and two gave no figure. Change: comments only, and a type that nobody outside uses is private. Measured: nothing new; figures are those of tests/large_fleet.

--- a/src/direct/place/long.rs
+++ b/src/direct/place/long.rs
@@ -177,7 +177,9 @@
 const READ_PART: f64 = 0.3;
 
 /// Prompts that a lane is wide enough to read at once before each is given only as many servers as
-/// keep it on time. Narrower lanes are better used by one after the other, each on all of them.
+/// keep it on time. Narrower lanes are better used by one after the other, each on all of them. Of
+/// 854 callers of a played burst on 112 servers 820 are on time with it, 807 without; with 14 servers
+/// all stays as it was.
 const AT_ONCE: usize = 3;
 
 /// On how many of the lane's servers a prompt is read: `busy` are the milliseconds until each is
--- a/src/direct/place/split.rs
+++ b/src/direct/place/split.rs
@@ -10,15 +10,16 @@
 use crate::direct::place::long;
 
 /// Milliseconds of reading that a part is meant to have. Shorter ones gain little: a first event
-/// waits for the end of a pass, which takes as long.
+/// waits for the end of a pass, which takes as long. Of 854 callers of a played burst on 112 servers
+/// 820 are on time with parts beside writers, 789 without.
 const PART_MS: f64 = 100.0;
 
 /// Servers with room that there must be for each that is taken. Where a prompt would take more of
 /// what is free, the next one finds nothing: then they had better be read one after the other.
 const SPARE: usize = 2;
 
-/// Milliseconds that may be read where nobody writes: 900,000 tokens in as many parts as there may
-/// be, at 154 tokens a millisecond, take as long.
+/// Milliseconds that may be read where nobody writes: a short prompt that comes there meanwhile waits
+/// no longer, and can still be on time.
 const ALONE_MS: f64 = 350.0;
 
 /// Milliseconds of reading below which servers count as equally free: what other entries gave them
--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -35,9 +35,9 @@
 
 /// Another process.
 #[derive(Clone, Debug)]
-pub struct Known {
+struct Known {
     /// What it tells of itself.
-    pub peer: gossip::Peer,
+    peer: gossip::Peer,
     /// When it was first heard, or again after it counted as gone.
     since: Duration,
     /// When it was last heard.
