Silent voters are asked last: a leader gone for good took the time of each change for a minute

Logs: the seed that led was replaced at 2.1 s; until it was forgotten, 60 s later, it stood first among the voters with its last word, that it leads. Each entry without control asked it first, and a change or a read has 0.9 s: nearly all through such entries ended as not known (232, Unknown), changes were acknowledged 2 to 4 s late, and reads too failed. What was acknowledged was in force everywhere 0.1 s later. Change: who is silent is asked after those who are there (direct/roster.rs, voters).

--- a/src/direct/roster.rs
+++ b/src/direct/roster.rs
@@ -146,6 +146,16 @@
         self.known.values().map(|known| &known.peer)
     }
 
+    /// Those that may vote, whom to ask first: who is there before who is silent, the leader first.
+    ///
+    /// A leader that is gone for good said last that it leads. Asked first until it was forgotten, it
+    /// took all the time of each change and read through an entry, for a minute.
+    pub fn voters(&self) -> Vec<gossip::Peer> {
+        let mut voters: Vec<&Known> = self.known.values().filter(|one| one.peer.votes).collect();
+        voters.sort_by_key(|one| (one.lost, !one.peer.leads, one.peer.link));
+        voters.into_iter().map(|one| one.peer.clone()).collect()
+    }
+
     /// Whether a process was heard lately.
     pub fn knows(&self, addr: &SocketAddr) -> bool {
         self.known.contains_key(addr)
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -298,11 +298,7 @@
     /// Tells the control role, and whoever asks it, who may vote and who leads.
     fn tell_control(&self, now: Duration) {
         let node = &self.direct.node;
-        let mut voters: Vec<gossip::Peer> = {
-            let roster = self.direct.roster();
-            roster.all().filter(|one| one.votes).cloned().collect()
-        };
-        voters.sort_by_key(|one| (!one.leads, one.link));
+        let voters = self.direct.roster().voters();
         if let Some(control) = node.control() {
             let known = voters.iter().map(|one| one.link).collect();
             control.know(known, self.founders(now, &voters));
--- a/tests/entry_roster.rs
+++ b/tests/entry_roster.rs
@@ -232,3 +232,27 @@
         assert_eq!(life(process), 7 - own, "{at}");
     }
 }
+
+/// A leader that has gone is asked after those that are there, also while it is still remembered.
+#[test]
+fn gone_leader_last() {
+    let mut roster = Roster::default();
+    let voter = |at: usize, leads: bool| Peer {
+        votes: true,
+        leads,
+        ..peer(at, 1)
+    };
+    let order = |roster: &Roster| -> Vec<usize> {
+        let voters = roster.voters();
+        voters.iter().map(|one| index(one.link)).collect()
+    };
+    roster.see(Duration::ZERO, &voter(2, true));
+    roster.see(Duration::ZERO, &voter(1, false));
+    roster.see(Duration::ZERO, &peer(0, 1));
+    assert_eq!(order(&roster), [2, 1]);
+    let later = Duration::from_secs(4);
+    roster.see(later, &voter(1, false));
+    roster.see(later, &voter(3, true));
+    roster.lose(later);
+    assert_eq!(order(&roster), [3, 1, 2]);
+}
