--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -233,6 +233,8 @@
                 "server" => &records[place.first].life, "prompt" => prompt, "aside" => place.aside.iter().sum::<u64>(),
                 "helpers" => place.helpers.iter().map(|at| records[*at].life.to_string()).collect::<Vec<_>>().join(","), "first_ms" => place.first_ms as u64,
                 "writers" => load.writers, "readers" => load.readers, "backlog_ms" => load.backlog_ms,
+                "objective_ms" => course.route.objective.as_millis() as u64,
+                "bound_ms" => course.route.pause.map_or(0, |one| one.as_millis() as u64),
                 "tried" => course.past.tried, "waited_ms" => course.began.elapsed().as_millis() as u64,
                 "left_ms" => course.left().as_millis() as u64);
         }
