Long prompts are read beside no short answers where they are on time so

Change: strays are a decision of its own (lane::Strays). A long prompt is placed where there are none if it is surely on time there, which may mean that it waits; else beside a few, as before.

--- a/src/direct/lane.rs
+++ b/src/direct/lane.rs
@@ -42,13 +42,28 @@
 /// Part of the servers for long prompts on which these are written.
 const WRITE_PART: f64 = 0.25;
 
-/// Requests with tight pauses beside which long prompts are read all the same. At 2, 5 and 8 the
-/// mean worth on 15 seeded days of two deployments is 0.618, 0.623 and 0.616.
-const MOST_STRAY: u32 = 5;
+/// Requests with tight pauses that may still write where long prompts are read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Strays {
+    /// None: each part that is read beside them is a pause of theirs.
+    None,
+    /// A few, for a prompt that would else be late: it is worth more than their pauses.
+    Few,
+}
+
+impl Strays {
+    /// Requests with tight pauses beside which long prompts are read at most.
+    fn most(self) -> u32 {
+        match self {
+            Self::None => 0,
+            Self::Few => 5,
+        }
+    }
+}
 
 /// What each server is kept for: the first ones in the order of their keys for tight pauses, as
 /// many as such requests need, and all of them while nothing long is to be read.
-pub fn lanes(servers: &[place::Server], any_waits: bool) -> Vec<Lane> {
+pub fn lanes(servers: &[place::Server], any_waits: bool, strays: Strays) -> Vec<Lane> {
     let count = servers.len();
     let mut lanes = vec![Lane::Tight; count];
     if count < LEAST_LANES {
@@ -73,9 +88,9 @@
     given.sort_by_key(|at| {
         let load = &servers[*at].load;
         let writes = load.writers > load.tight;
-        (load.tight > MOST_STRAY, !writes, servers[*at].key)
+        (load.tight > strays.most(), !writes, servers[*at].key)
     });
-    let free = given.partition_point(|at| servers[*at].load.tight <= MOST_STRAY);
+    let free = given.partition_point(|at| servers[*at].load.tight <= strays.most());
     let free = free.max(1);
     let write = (free as f64 * WRITE_PART).round().max(1.0) as usize;
     for (rank, at) in given.iter().enumerate() {
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -24,6 +24,10 @@
 /// worth on 20 seeded days of a deployment with few such overloads is 0.690, at 2 0.701.
 const FULL_OBJECTIVES: f64 = 2.0;
 
+/// Part of the time left within which a first event must be predicted to be on time surely: one in
+/// ten of long prompts comes 0.3 to 0.6 s after its prediction.
+const SURE_PART: f64 = 0.6;
+
 /// Share of a request's worth that is lost when it is late.
 const LATE: f64 = 0.75;
 
@@ -105,6 +109,11 @@
         self.first_ms > objective.as_secs_f64() * 1e3 * FULL_OBJECTIVES
     }
 
+    /// Whether its first event comes within `aim` even if it comes later than predicted.
+    fn is_surely_on_time(&self, aim: Duration) -> bool {
+        self.first_ms <= aim.as_secs_f64() * 1e3 * SURE_PART
+    }
+
     /// Whether a request that waits at a slow server had better go here instead: its prompt is
     /// read again, which others pay for, so it must be worth it. Under load, when all servers are
     /// slow, going from one to the other only adds to it: of 80 requests a second 110 moved within
@@ -129,14 +138,21 @@
     any_waits: bool,
 ) -> Option<Place> {
     if !is_long(engine, need) {
-        let lanes = lane::lanes(servers, any_waits);
+        let lanes = lane::lanes(servers, any_waits, lane::Strays::Few);
         return short::find(engine, need, servers, &lanes);
     }
-    without_turn(engine, need, servers, any_waits).or_else(|| {
-        // A long prompt that has just come needs its lane as one that waits does.
-        let lanes = lane::lanes(servers, true);
+    without_turn(engine, need, servers, any_waits).or_else(|| by_turn(engine, need, servers))
+}
+
+/// Places a long prompt that takes its turn: beside nobody with tight pauses, if it is on time so.
+fn by_turn(engine: &model::Engine, need: &Need, servers: &[Server]) -> Option<Place> {
+    // One that has just come needs its lane as one that waits does.
+    let place = |strays| {
+        let lanes = lane::lanes(servers, true, strays);
         long::find(engine, need, servers, &lanes)
-    })
+    };
+    let calm = place(lane::Strays::None).filter(|one| one.is_surely_on_time(need.aim));
+    calm.or_else(|| place(lane::Strays::Few))
 }
 
 /// Places a long prompt on servers with room for it beside their writers, if there are enough.
@@ -146,7 +162,7 @@
     servers: &[Server],
     any_waits: bool,
 ) -> Option<Place> {
-    let lanes = lane::lanes(servers, any_waits);
+    let lanes = lane::lanes(servers, any_waits, lane::Strays::Few);
     split::find(engine, need, servers, &lanes)
 }
 
--- a/tests/engine_places.rs
+++ b/tests/engine_places.rs
@@ -84,7 +84,7 @@
         write_tight(server, 8);
     }
     let place = put(&long(182_000), &servers);
-    let lanes = lane::lanes(&servers, true);
+    let lanes = lane::lanes(&servers, true, lane::Strays::Few);
     for at in place.helpers.iter().chain([&place.first]) {
         assert_ne!(lanes[*at], Lane::Tight, "{place:?}");
     }
@@ -136,7 +136,7 @@
     for server in &mut servers[..11] {
         write_tight(server, 15);
     }
-    let lanes = lane::lanes(&servers, true);
+    let lanes = lane::lanes(&servers, true, lane::Strays::Few);
     let reading = lanes.iter().filter(|lane| **lane == Lane::Read).count();
     assert_eq!(reading, 1, "{lanes:?}");
     let need = Need {
@@ -178,7 +178,7 @@
 fn lanes_follow_load() {
     let mut servers = servers(14);
     let kept = |servers: &[Server], waits: bool| {
-        let lanes = lane::lanes(servers, waits);
+        let lanes = lane::lanes(servers, waits, lane::Strays::Few);
         lanes.iter().filter(|lane| **lane == Lane::Tight).count()
     };
     assert_eq!(kept(&servers, true), 2, "two at least, that one may fail");
@@ -208,7 +208,7 @@
         for server in &mut servers[..busy] {
             write_tight(server, 12);
         }
-        let lanes = lane::lanes(&servers, true);
+        let lanes = lane::lanes(&servers, true, lane::Strays::Few);
         assert_eq!(lanes[9], Lane::Write, "{busy} busy: {lanes:?}");
         let place = put(&long(182_000), &servers);
         assert!(!place.helpers.contains(&9), "{place:?}");
@@ -278,12 +278,15 @@
     for server in &mut servers[..5] {
         write_tight(server, 8);
     }
-    let lanes = lane::lanes(&servers, true);
+    let lanes = lane::lanes(&servers, true, lane::Strays::Few);
     assert_eq!(lanes[4], Lane::Drain, "{lanes:?}");
     let place = put(&long(182_000), &servers);
     assert!(place.first != 4 && !place.helpers.contains(&4), "{place:?}");
     write_tight(&mut servers[4], 1);
-    assert_ne!(lane::lanes(&servers, true)[4], Lane::Drain);
+    assert_ne!(
+        lane::lanes(&servers, true, lane::Strays::Few)[4],
+        Lane::Drain
+    );
 }
 
 #[test]
--- /dev/null
+++ b/tests/long_strays.rs
@@ -0,0 +1,97 @@
+//! Long prompts beside the last of a burst of short ones: whose pauses they stretch.
+//!
+//! The load: a burst of short work ends, its last answers are still written on half of the servers,
+//! and long prompts come.
+
+use std::time::Duration;
+
+use wigeonbarrow::direct::board::Load;
+use wigeonbarrow::direct::model::Engine;
+use wigeonbarrow::direct::place;
+use wigeonbarrow::direct::place::Need;
+use wigeonbarrow::direct::place::Server;
+
+#[path = "common/engines.rs"]
+mod engines;
+
+/// An engine at which pairs of tokens are dear, with long passes.
+fn engine() -> Engine {
+    Engine {
+        slots: 12,
+        memory_tokens: 267_750,
+        stride: 57,
+        step_ms: 0.85,
+        writer_ms: 0.004_25,
+        context_ms_per_k: 0.002_85,
+        read_per_ms: 177.0,
+        pairs_ms_per_m: 0.184,
+        ..engines::engine()
+    }
+}
+
+/// Servers of which each `step`th still writes three answers with tight pauses.
+fn servers(count: usize, step: usize) -> Vec<Server> {
+    let load = |at: usize| match at % step {
+        0 => Load {
+            writers: 3,
+            bound_ms: 250,
+            tight: 3,
+            context: 18_000,
+            memory: 18_000,
+            ..Load::default()
+        },
+        _ => Load::default(),
+    };
+    let server = |at: usize| Server {
+        key: at as u64,
+        near: true,
+        slots: 12,
+        load: load(at),
+        pace: 1.0,
+        failing: 0.0,
+    };
+    (0..count).map(server).collect()
+}
+
+fn disturbed(place: &place::Place, servers: &[Server]) -> usize {
+    let all = place.helpers.iter().chain([&place.first]);
+    all.filter(|at| servers[**at].load.tight > 0).count()
+}
+
+/// Of 20 prompts each stretched pauses of three or more servers by a second, while as many others
+/// stood idle; now none does.
+#[test]
+fn spares_strays() {
+    let servers = servers(54, 2);
+    for draw in 0..20 {
+        let need = Need {
+            draw,
+            ..engines::long(220_000)
+        };
+        let place = place::engine(&engine(), &need, &servers, true).expect("there is room");
+        assert_eq!(disturbed(&place, &servers), 0, "{place:?}");
+        assert!(place.first_ms < 2_400.0, "{place:?}");
+    }
+}
+
+/// Where there are no others, it is read beside a few rather than late.
+#[test]
+fn late_takes_strays() {
+    let servers = servers(14, 1);
+    let place = place::engine(&engine(), &engines::long(220_000), &servers, true);
+    let place = place.expect("there is room");
+    assert!(place.helpers.len() > 4, "{place:?}");
+    assert!(place.first_ms < 4_000.0, "{place:?}");
+}
+
+/// One that is late already is not held back for anybody's pauses.
+#[test]
+fn overdue_takes_strays() {
+    let servers = servers(14, 1);
+    let need = Need {
+        aim: Duration::ZERO,
+        ..engines::long(220_000)
+    };
+    let place = place::engine(&engine(), &need, &servers, true).expect("there is room");
+    assert!(place.helpers.len() > 4, "{place:?}");
+}
