A step reads no more context than a server holds: the longest were refused as hopeless

Ruled out: pressure (event 209 is not logged for it), memory. Change: the context is bounded by the engine's memory.

--- a/src/direct/patience.rs
+++ b/src/direct/patience.rs
@@ -93,7 +93,9 @@
     /// Whether an answer would be whole in time if its first event came after `first`. What is cut
     /// at its deadline was read for nothing, while others waited.
     pub fn allows(&self, engine: &model::Engine, need: &place::Need, first: Duration) -> bool {
-        let writing = engine.write_time(need.answer, WRITERS, need.prompt * u64::from(WRITERS));
+        // However many write, a step reads no more context than a server holds.
+        let context = (need.prompt * u64::from(WRITERS)).min(engine.memory_tokens);
+        let writing = engine.write_time(need.answer, WRITERS, context);
         let whole = first.saturating_add(writing).saturating_add(TURN_LEFT);
         self.end > whole && self.left > first
     }
--- a/tests/request_patience.rs
+++ b/tests/request_patience.rs
@@ -140,3 +140,28 @@
     assert_eq!(patience::stuck(&short_route()), ms(1_500));
     assert_eq!(patience::stuck(&long_route()), ms(5_000));
 }
+
+/// Beside however many others a long answer is written, a step reads no more context than its server
+/// holds. Counted as four times the prompt, a prompt of 455,000 tokens was refused as it came, 12 s
+/// of writing before its deadline, though it is read in 1.3 s and written in 4 s.
+#[test]
+fn context_is_bounded() {
+    let engine = wigeonbarrow::direct::model::Engine {
+        memory_tokens: 267_750,
+        step_ms: 0.85,
+        context_ms_per_k: 0.002_85,
+        read_per_ms: 177.0,
+        pairs_ms_per_m: 0.184,
+        ..engine()
+    };
+    let need = Need {
+        answer: 2_200,
+        ..long(455_000)
+    };
+    assert!(wait(0).may_go_on(&engine, &need));
+    let longer = Need {
+        answer: 9_000,
+        ..need
+    };
+    assert!(!wait(0).may_go_on(&engine, &longer), "never whole in time");
+}
