A server that breaks off a call that may not be repeated is suspected by all entries at once

Change: after the first one the entry pauses the server and tells the others, as for one that does not report.

--- a/src/direct/verdict.rs
+++ b/src/direct/verdict.rs
@@ -67,6 +67,13 @@
     route.repeatable() && past.ran < route.most_servers.max(1)
 }
 
+/// Whether a server is suspected by all entries at once after `end`. A call that may not be repeated
+/// is lost with its connection, and whoever breaks connections off at once looks idle and draws the
+/// next: of a service with five servers, one that came and went took 7 calls of 8 entries in 5 s.
+pub fn suspects(route: &catalog::Route, end: &End) -> bool {
+    matches!(end, End::Broken) && !route.repeatable()
+}
+
 /// What a caller is told when nothing can be passed on.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Refusal {
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -294,6 +294,9 @@
                 "server" => &server.life, "end" => format!("{end:?}"), "ran" => course.past.ran,
                 "tried" => course.past.tried, "left_ms" => course.left().as_millis() as u64);
         }
+        if verdict::suspects(&course.route, end) {
+            self.suspect(&server.life);
+        }
         match end {
             verdict::End::Unsent => self.missed(&server.life, "no connection"),
             verdict::End::Silent => {
--- a/src/edge/direct/checkup.rs
+++ b/src/edge/direct/checkup.rs
@@ -79,6 +79,13 @@
 }
 
 impl Direct {
+    /// Sends nothing new to a server for a while, and tells the others to do so.
+    pub(super) fn suspect(&self, server: &register::Life) {
+        self.missed(server, "a call broke off that may not be repeated");
+        let key = board::server_key(server);
+        self.tell(gossip::News::Paces(vec![(key, SILENT)]));
+    }
+
     /// Takes what another entry found out about servers.
     pub(super) fn take_paces(&self, paces: &[(u64, u16)]) {
         let told: Vec<(register::Life, u16)> = {
--- a/tests/retry_verdicts.rs
+++ b/tests/retry_verdicts.rs
@@ -152,3 +152,16 @@
     assert!(budget.spend(start + limit.window, "pool", 1));
     assert!(first > 0);
 }
+
+/// A server that breaks off calls that may not be repeated is taken out by all entries with the first
+/// one; where they may, another server answers, and the caller sees nothing.
+#[test]
+fn broken_suspects() {
+    for end in ends() {
+        let is_broken = matches!(end, End::Broken);
+        let once = route(Kind::Unsafe, false);
+        assert_eq!(verdict::suspects(&once, &end), is_broken, "{end:?}");
+        let again = route(Kind::Safe, false);
+        assert!(!verdict::suspects(&again, &end), "{end:?}");
+    }
+}
