The line, a request's end and a server's backlog have modules of their own

Change: moved, nothing decided anew: edge/direct/turn (the line of long prompts), edge/direct/span (a request seen to its end), direct/backlog (work left at a server, with the bound that board spelled out).

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -5,6 +5,7 @@
 //! agreement: each request has one entry, and that entry sends it a second time only after
 //! "not run". No input, output or clock here.
 
+pub mod backlog;
 pub mod board;
 pub mod budget;
 pub mod bulletin;
--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::backlog::Backlog;
 use super::register;
 use crate::wire::id;
 
@@ -25,11 +26,6 @@
 /// A pause in milliseconds at or below which a writer is in the way of long prompts.
 pub const TIGHT_MS: u32 = 400;
 
-/// Time in which work given to a server fades from what counts as given lately. Writers' events
-/// come each time that an engine has made some dozen tokens, and reading between those adds up:
-/// 200 ms of it stretch a pause of 48 ms to 250 ms, whether they come at once or one by one.
-const LATELY: Duration = Duration::from_millis(250);
-
 /// Ranks told to others.
 const MOST_WAITING: usize = 4;
 
@@ -74,7 +70,7 @@
         /// Requests with tight pauses that write there, or will: see [`TIGHT_MS`].
         pub tight: u32,
         /// Milliseconds of work given to the server lately, by all entries, older work counting
-        /// less: see [`LATELY`].
+        /// less: see [`super::backlog`].
         pub lately_ms: u32,
     }
 }
@@ -148,36 +144,6 @@
     waiting: Vec<u32>,
 }
 
-/// Work given to a server to read that is not yet done.
-///
-/// A server does one thing after the other, whoever gave it, so what is left shrinks with time
-/// and does not depend on the order.
-#[derive(Clone, Copy, Debug, Default)]
-struct Backlog {
-    ms: f64,
-    at: Duration,
-    /// Work given lately, at `at`.
-    lately: f64,
-}
-
-impl Backlog {
-    fn lately(&self, now: Duration) -> f64 {
-        let since = now.saturating_sub(self.at).as_secs_f64();
-        self.lately * (-since / LATELY.as_secs_f64()).exp()
-    }
-
-    fn left(&self, now: Duration) -> f64 {
-        let since = now.saturating_sub(self.at).as_secs_f64() * 1e3;
-        (self.ms - since).max(0.0)
-    }
-
-    fn add(&mut self, now: Duration, ms: f64) {
-        self.ms = (self.left(now) + ms).max(0.0);
-        self.lately = (self.lately(now) + ms).max(0.0);
-        self.at = now;
-    }
-}
-
 /// What this entry has given a server in all, and when last.
 #[derive(Clone, Copy, Debug, Default)]
 struct Given {
@@ -415,14 +381,8 @@
                 continue;
             };
             // Work that was expected and is done sooner, or was given up, is seen by this.
-            let left = backlog.left(now).min(f64::from(load.read_ms));
-            let lately = backlog.lately(now);
-            *backlog = Backlog {
-                ms: left,
-                at: now,
-                lately,
-            };
-            load.lately_ms = lately as u32;
+            let left = backlog.bound(now, f64::from(load.read_ms));
+            load.lately_ms = backlog.lately(now) as u32;
             let overdue = f64::from(load.overdue_ms) * OVERDUE_PART;
             load.backlog_ms = left.max(overdue) as u32;
         }
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -41,7 +41,9 @@
 pub mod publish;
 pub mod relay;
 pub mod reserve;
+mod span;
 pub mod stream;
+mod turn;
 
 /// Time after a start from which the others are known that share a budget.
 const ACQUAINTED: Duration = Duration::from_secs(3);
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -8,6 +8,7 @@
 
 use super::Direct;
 use super::course::Course;
+use super::turn;
 use crate::direct::board;
 use crate::direct::patience;
 use crate::direct::place;
@@ -19,14 +20,6 @@
 /// Silence of heartbeats after which a server is only used if no other is there.
 const UNHEARD: Duration = Duration::from_secs(6);
 
-/// Pause before a prompt that waits for its turn looks again: a third of the shortest part that
-/// is worth a turn.
-const TURN_PAUSE: Duration = Duration::from_millis(15);
-
-/// Pause before a prompt looks again for memory: about two passes of an engine. Looking weighs all
-/// servers, which on the smallest machines costs more than the wait gains.
-const MEMORY_PAUSE: Duration = Duration::from_millis(100);
-
 /// Pauses before a short request looks again for a server that is not full.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 const FULL_PAUSE_LATE: Duration = Duration::from_millis(150);
@@ -55,85 +48,6 @@
     Nowhere,
 }
 
-/// A long prompt's place in the line of those that wait, given back when it is dropped.
-struct Turn {
-    direct: Arc<Direct>,
-    ticket: Option<board::Ticket>,
-    rank: u32,
-}
-
-impl Turn {
-    fn new(direct: &Arc<Direct>) -> Self {
-        Self {
-            direct: Arc::clone(direct),
-            ticket: None,
-            rank: 0,
-        }
-    }
-
-    /// Whether none that waits goes before it.
-    fn has_come(&self, course: &Course) -> bool {
-        let now = self.direct.node.now();
-        let need = course.need();
-        let Some(engine) = course.engine.filter(|one| place::is_long(one, &need)) else {
-            return true;
-        };
-        let state = self.direct.state();
-        match self.ticket {
-            Some(ticket) => state.board.is_first(now, ticket, self.rank),
-            None => state.board.ahead(now, course.wait().rank(&engine, &need)) == 0,
-        }
-    }
-
-    /// Takes its place, or keeps it with a better rank.
-    fn wait(&mut self, course: &Course) {
-        let Some(engine) = &course.engine else {
-            return;
-        };
-        self.rank = course.wait().rank(engine, &course.need());
-        let is_new = self.ticket.is_none();
-        let mut state = self.direct.state();
-        self.ticket = Some(state.board.wait(self.ticket, self.rank));
-        let now = self.direct.node.now();
-        let ahead = state.board.ahead(now, self.rank);
-        drop(state);
-        if !is_new {
-            return;
-        }
-        self.direct.loads_changed.notify_one();
-        if self.direct.lines.allow(Event::RequestWaits, now) {
-            log_event!(self.direct.node.log(), Event::RequestWaits, "request" => &course.ask.id,
-                "prompt" => course.need().prompt, "rank" => self.rank, "ahead" => ahead,
-                "left_ms" => course.left().as_millis() as u64);
-        }
-    }
-}
-
-impl Turn {
-    /// Time until it looks again.
-    fn pause(&self) -> Duration {
-        if self.ticket.is_some() {
-            TURN_PAUSE
-        } else {
-            MEMORY_PAUSE
-        }
-    }
-
-    /// Gives its place in the line back.
-    fn leave(&mut self) {
-        if let Some(ticket) = self.ticket.take() {
-            self.direct.state().board.stop_waiting(ticket);
-            self.direct.loads_changed.notify_one();
-        }
-    }
-}
-
-impl Drop for Turn {
-    fn drop(&mut self) {
-        self.leave();
-    }
-}
-
 /// A request's place on the board, given back when it is dropped.
 pub struct Seat {
     direct: Arc<Direct>,
@@ -335,7 +249,7 @@
         if is_long && let Choice::Now(chosen) = self.choose(course, Reading::Beside) {
             return Ok(*chosen);
         }
-        let mut turn = Turn::new(self);
+        let mut turn = turn::Turn::new(self);
         loop {
             if self.turns_away(course) {
                 return Err(verdict::End::Away);
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -21,6 +21,7 @@
 use super::course::Course;
 use super::dialect;
 use super::door;
+use super::span;
 use super::stream;
 use crate::direct::catalog;
 use crate::direct::patience;
@@ -84,16 +85,16 @@
         let (head, body) = request.into_parts();
         let ask = self.dialect.ask(&head);
         let began = Instant::now();
-        let mut watch = Watch::new(self, &ask.id);
+        let mut span = span::Span::new(self, &ask.id);
         let course = match self.admit(ask, head, body, began).await {
             Ok(course) => course,
             Err(denied) => {
-                watch.end(denied.status, denied.why);
+                span.end(denied.status, denied.why);
                 return refuse(denied.status, denied.come_back);
             }
         };
-        watch.service.clone_from(&course.service);
-        self.relay(course, watch).await
+        span.serves(&course.service);
+        self.relay(course, span).await
     }
 
     fn idle_timeout(&self) -> Duration {
@@ -178,7 +179,7 @@
     async fn relay(
         self: &Arc<Self>,
         mut course: Course,
-        mut watch: Watch,
+        mut span: span::Span,
     ) -> http::Response<door::Body> {
         let now = self.node.now();
         self.state().budget.request(now, &course.service);
@@ -186,8 +187,8 @@
         let got = time::timeout_at(end, self.pursue(&mut course, None)).await;
         let missed = match got {
             Ok(Ok(attempt::Got::Whole(whole))) => {
-                watch.first(0.0);
-                watch.end(whole.head.status, "answered");
+                span.first(0.0);
+                span.end(whole.head.status, "answered");
                 return pass_on(whole);
             }
             Ok(Ok(attempt::Got::Stream {
@@ -195,14 +196,14 @@
                 first,
                 reader,
             })) => {
-                watch.first(reader.first_ms);
-                return self.pass_stream(course, watch, &head, first, reader);
+                span.first(reader.first_ms);
+                return self.pass_stream(course, span, &head, first, reader);
             }
             Ok(Err(missed)) => missed,
             Err(_) => verdict::End::Late.into(),
         };
         if let Some(answer) = missed.answer {
-            watch.end(answer.head.status, "failed by its backend server");
+            span.end(answer.head.status, "failed by its backend server");
             return pass_on(answer);
         }
         let (status, come_back) = match verdict::refusal(&missed.end, course.past, course.left()) {
@@ -210,7 +211,7 @@
             verdict::Refusal::Failed => (StatusCode::BAD_GATEWAY, None),
             verdict::Refusal::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
         };
-        watch.end(status, &format!("{:?}", missed.end));
+        span.end(status, &format!("{:?}", missed.end));
         refuse(status, come_back)
     }
 
@@ -265,7 +266,7 @@
     fn pass_stream(
         self: &Arc<Self>,
         mut course: Course,
-        mut watch: Watch,
+        mut span: span::Span,
         head: &response::Parts,
         first: stream::Piece,
         mut reader: Box<stream::Reader>,
@@ -275,14 +276,14 @@
         let direct = Arc::clone(self);
         let pieces = async_stream::stream! {
             let mut after = first.last.clone();
-            watch.passed(first.events);
+            span.passed(first.events);
             yield Ok(body::Frame::data(first.bytes));
             let limit = time::Instant::from_std(course.end);
             loop {
                 let next = time::timeout_at(limit, time::timeout(patience::stuck(&course.route), reader.next(patience::QUIET, || direct.may_move(&course))));
                 let lost = match next.await {
                     Ok(Ok(stream::Next::Piece(piece))) => {
-                        watch.passed(piece.events);
+                        span.passed(piece.events);
                         if piece.last.is_some() {
                             after.clone_from(&piece.last);
                         }
@@ -291,7 +292,7 @@
                     }
                     Ok(Ok(stream::Next::End)) => {
                         direct.state().suspects.clear(&course.fingerprint);
-                        watch.end(status, "answered");
+                        span.end(status, "answered");
                         return;
                     }
                     Ok(Ok(stream::Next::Lost(end))) => end,
@@ -303,14 +304,14 @@
                 };
                 let resumed = direct.resume(&mut course, &reader, &lost, after.as_deref());
                 if let Ok(Some((piece, next))) = time::timeout_at(limit, resumed).await {
-                        watch.passed(piece.events);
+                        span.passed(piece.events);
                         if piece.last.is_some() {
                             after.clone_from(&piece.last);
                         }
                         reader = next;
                         yield Ok(body::Frame::data(piece.bytes));
                 } else {
-                        watch.cut(&lost);
+                        span.cut(&lost);
                         yield Err(io::Error::other("the answer broke off"));
                         return;
                 }
@@ -355,95 +356,6 @@
     }
 }
 
-/// Sees a request to its end, and logs and counts it; also when its caller leaves before.
-struct Watch {
-    direct: Arc<Direct>,
-    id: String,
-    service: String,
-    began: Instant,
-    first: Option<Duration>,
-    events: u32,
-    /// When its last events were passed on.
-    last: Instant,
-    /// Longest pause between its events, at this entry.
-    pause: Duration,
-    ended: bool,
-}
-
-impl Watch {
-    fn new(direct: &Arc<Direct>, id: &str) -> Self {
-        direct.counts.began();
-        Self {
-            direct: Arc::clone(direct),
-            id: id.to_owned(),
-            service: String::new(),
-            began: Instant::now(),
-            first: None,
-            events: 0,
-            last: Instant::now(),
-            pause: Duration::ZERO,
-            ended: false,
-        }
-    }
-
-    fn first(&mut self, predicted_ms: f64) {
-        let took = self.began.elapsed();
-        self.first = Some(took);
-        self.direct.counts.first(&self.service, took, predicted_ms);
-    }
-
-    fn passed(&mut self, events: u32) {
-        if self.events > 0 {
-            self.pause = self.pause.max(self.last.elapsed());
-        }
-        self.last = Instant::now();
-        self.events += events;
-    }
-
-    fn end(&mut self, status: StatusCode, cause: &str) {
-        let took = self.began.elapsed();
-        self.ended = true;
-        self.direct
-            .counts
-            .ended(&self.service, status.as_str(), took);
-        let event = if status.is_success() {
-            Event::RequestEnded
-        } else {
-            Event::RequestRefused
-        };
-        self.log(event, status.as_u16(), cause);
-    }
-
-    fn cut(&mut self, lost: &verdict::End) {
-        self.ended = true;
-        let took = self.began.elapsed();
-        self.direct.counts.ended(&self.service, "cut", took);
-        self.log(Event::StreamCut, 0, &format!("{lost:?}"));
-    }
-
-    fn log(&self, event: Event, status: u16, cause: &str) {
-        let now = self.direct.node.now();
-        if !self.direct.lines.allow(event, now) {
-            return;
-        }
-        let first = self.first.map_or(0, |one| one.as_millis() as u64);
-        let whole = self.began.elapsed().as_millis() as u64;
-        log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
-            "cause" => cause, "first_ms" => first, "whole_ms" => whole, "events" => self.events,
-            "pause_ms" => self.pause.as_millis() as u64);
-    }
-}
-
-impl Drop for Watch {
-    fn drop(&mut self) {
-        if !self.ended {
-            let took = self.began.elapsed();
-            self.direct.counts.ended(&self.service, "caller left", took);
-            self.log(Event::CallerLeft, 0, "caller left");
-        }
-    }
-}
-
 async fn read_body(body: body::Incoming, limits: &catalog::Limits) -> Result<Bytes, Denied> {
     let reading = Limited::new(body, limits.body_bytes).collect();
     match time::timeout(limits.idle_timeout, reading).await {
--- /dev/null
+++ b/src/edge/direct/span.rs
@@ -0,0 +1,111 @@
+//! A request's end, logged and counted, whoever brings it about.
+
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use http::StatusCode;
+
+use super::Direct;
+use crate::direct::verdict;
+use crate::edge::event::Event;
+use crate::log_event;
+
+/// Sees a request to its end, and logs and counts it; also when its caller leaves before.
+pub(super) struct Span {
+    direct: Arc<Direct>,
+    id: String,
+    service: String,
+    began: Instant,
+    first: Option<Duration>,
+    events: u32,
+    /// When its last events were passed on.
+    last: Instant,
+    /// Longest pause between its events, at this entry.
+    pause: Duration,
+    ended: bool,
+}
+
+impl Span {
+    /// Begins with a request that has come.
+    pub(super) fn new(direct: &Arc<Direct>, id: &str) -> Self {
+        direct.counts.began();
+        Self {
+            direct: Arc::clone(direct),
+            id: id.to_owned(),
+            service: String::new(),
+            began: Instant::now(),
+            first: None,
+            events: 0,
+            last: Instant::now(),
+            pause: Duration::ZERO,
+            ended: false,
+        }
+    }
+
+    /// The service that its route led to.
+    pub(super) fn serves(&mut self, service: &str) {
+        service.clone_into(&mut self.service);
+    }
+
+    /// Its first event came, `predicted_ms` after it was placed as far as predicted.
+    pub(super) fn first(&mut self, predicted_ms: f64) {
+        let took = self.began.elapsed();
+        self.first = Some(took);
+        self.direct.counts.first(&self.service, took, predicted_ms);
+    }
+
+    /// Events were passed on.
+    pub(super) fn passed(&mut self, events: u32) {
+        if self.events > 0 {
+            self.pause = self.pause.max(self.last.elapsed());
+        }
+        self.last = Instant::now();
+        self.events += events;
+    }
+
+    /// It was answered, or refused.
+    pub(super) fn end(&mut self, status: StatusCode, cause: &str) {
+        let took = self.began.elapsed();
+        self.ended = true;
+        self.direct
+            .counts
+            .ended(&self.service, status.as_str(), took);
+        let event = if status.is_success() {
+            Event::RequestEnded
+        } else {
+            Event::RequestRefused
+        };
+        self.log(event, status.as_u16(), cause);
+    }
+
+    /// Its answer broke off.
+    pub(super) fn cut(&mut self, lost: &verdict::End) {
+        self.ended = true;
+        let took = self.began.elapsed();
+        self.direct.counts.ended(&self.service, "cut", took);
+        self.log(Event::StreamCut, 0, &format!("{lost:?}"));
+    }
+
+    fn log(&self, event: Event, status: u16, cause: &str) {
+        let now = self.direct.node.now();
+        if !self.direct.lines.allow(event, now) {
+            return;
+        }
+        let first = self.first.map_or(0, |one| one.as_millis() as u64);
+        let whole = self.began.elapsed().as_millis() as u64;
+        log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
+            "cause" => cause, "first_ms" => first, "whole_ms" => whole, "events" => self.events,
+            "pause_ms" => self.pause.as_millis() as u64);
+    }
+}
+
+impl Drop for Span {
+    fn drop(&mut self) {
+        if !self.ended {
+            let took = self.began.elapsed();
+            self.direct.counts.ended(&self.service, "caller left", took);
+            self.log(Event::CallerLeft, 0, "caller left");
+        }
+    }
+}
--- /dev/null
+++ b/src/edge/direct/turn.rs
@@ -0,0 +1,96 @@
+//! The line of long prompts that wait for their turn.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use super::Direct;
+use super::course::Course;
+use crate::direct::board;
+use crate::direct::place;
+use crate::edge::event::Event;
+use crate::log_event;
+
+/// Pause before a prompt that waits for its turn looks again: a third of the shortest part that
+/// is worth a turn.
+const TURN_PAUSE: Duration = Duration::from_millis(15);
+
+/// Pause before a prompt looks again for memory: about two passes of an engine. Looking weighs all
+/// servers, which on the smallest machines costs more than the wait gains.
+const MEMORY_PAUSE: Duration = Duration::from_millis(100);
+
+/// A long prompt's place in the line of those that wait, given back when it is dropped.
+pub(super) struct Turn {
+    direct: Arc<Direct>,
+    ticket: Option<board::Ticket>,
+    rank: u32,
+}
+
+impl Turn {
+    pub(super) fn new(direct: &Arc<Direct>) -> Self {
+        Self {
+            direct: Arc::clone(direct),
+            ticket: None,
+            rank: 0,
+        }
+    }
+
+    /// Whether none that waits goes before it.
+    pub(super) fn has_come(&self, course: &Course) -> bool {
+        let now = self.direct.node.now();
+        let need = course.need();
+        let Some(engine) = course.engine.filter(|one| place::is_long(one, &need)) else {
+            return true;
+        };
+        let state = self.direct.state();
+        match self.ticket {
+            Some(ticket) => state.board.is_first(now, ticket, self.rank),
+            None => state.board.ahead(now, course.wait().rank(&engine, &need)) == 0,
+        }
+    }
+
+    /// Takes its place, or keeps it with a better rank.
+    pub(super) fn wait(&mut self, course: &Course) {
+        let Some(engine) = &course.engine else {
+            return;
+        };
+        self.rank = course.wait().rank(engine, &course.need());
+        let is_new = self.ticket.is_none();
+        let mut state = self.direct.state();
+        self.ticket = Some(state.board.wait(self.ticket, self.rank));
+        let now = self.direct.node.now();
+        let ahead = state.board.ahead(now, self.rank);
+        drop(state);
+        if !is_new {
+            return;
+        }
+        self.direct.loads_changed.notify_one();
+        if self.direct.lines.allow(Event::RequestWaits, now) {
+            log_event!(self.direct.node.log(), Event::RequestWaits, "request" => &course.ask.id,
+                "prompt" => course.need().prompt, "rank" => self.rank, "ahead" => ahead,
+                "left_ms" => course.left().as_millis() as u64);
+        }
+    }
+
+    /// Time until it looks again.
+    pub(super) fn pause(&self) -> Duration {
+        if self.ticket.is_some() {
+            TURN_PAUSE
+        } else {
+            MEMORY_PAUSE
+        }
+    }
+
+    /// Gives its place in the line back.
+    pub(super) fn leave(&mut self) {
+        if let Some(ticket) = self.ticket.take() {
+            self.direct.state().board.stop_waiting(ticket);
+            self.direct.loads_changed.notify_one();
+        }
+    }
+}
+
+impl Drop for Turn {
+    fn drop(&mut self) {
+        self.leave();
+    }
+}
