--- a/tests/request_patience.rs
+++ b/tests/request_patience.rs
@@ -155,7 +155,7 @@
         ..engine()
     };
     let need = Need {
-        answer: 2_200,
+        answer: 2_600,
         ..long(455_000)
     };
     assert!(wait(0).may_go_on(&engine, &need));
