--- a/src/direct/lane.rs
+++ b/src/direct/lane.rs
@@ -47,7 +47,8 @@
 pub enum Strays {
     /// None: each part that is read beside them is a pause of theirs.
     None,
-    /// A few, for a prompt that would else be late: it is worth more than their pauses.
+    /// A few: where all servers are wanted for reading, or for a prompt that would else be late. It is
+    /// worth more than their pauses.
     Few,
 }
 
