Limits that backend servers name are decoded and logged, with all that is sent to them

What answers say of a limit was dropped unread, and probes and orders left no line.

Change: platform/ decodes the header (named, nothing, unreadable); events 216 and 217, metrics direct_sent by kind and direct_limited_servers. No decision uses them yet.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -20,11 +20,14 @@
 use crate::direct::fault;
 use crate::direct::gossip;
 use crate::direct::pressure;
+use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::roster;
+use crate::direct::tally;
 use crate::log_event;
 use crate::wire::agree;
 
+mod account;
 pub mod attempt;
 pub mod checkup;
 pub mod choose;
@@ -80,6 +83,10 @@
     pub board: board::Board,
     /// How much long prompts waited lately.
     pub pressure: pressure::Pressure,
+    /// Limits that backend servers name.
+    pub quotas: quota::Quotas,
+    /// What was sent to backend servers lately.
+    pub tally: tally::Tally,
 }
 
 impl State {
@@ -129,6 +136,8 @@
             budget: budget::Budget::new(settings.retries),
             board: board::Board::default(),
             pressure: pressure::Pressure::default(),
+            quotas: quota::Quotas::default(),
+            tally: tally::Tally::default(),
         };
         Arc::new(Self {
             node: Arc::clone(node),
@@ -293,12 +302,17 @@
     /// Closes idle connections and forgets what has long gone. To be called each second.
     pub fn sweep(&self) {
         self.pool.prune();
+        self.tell_sent();
         let now = self.node.now();
         let mut state = self.state();
         state.register.prune(now);
         let State {
-            register, healths, ..
+            register,
+            healths,
+            quotas,
+            ..
         } = &mut *state;
         healths.retain(|life| register.get(life).is_some());
+        quotas.retain(|life| register.get(life).is_some());
     }
 }
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -18,6 +18,7 @@
 use crate::direct::catalog;
 use crate::direct::patience;
 use crate::direct::register;
+use crate::direct::tally;
 use crate::direct::verdict;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -110,6 +111,7 @@
         let mut conn = conn.map_err(|_| verdict::End::Unsent)?;
         let request = self.request(course, &chosen, memory.as_ref(), after);
         let wait = doubt(course, chosen.first_ms);
+        let sent_at = self.sent(&server.life, tally::Kind::Request);
         let sent = {
             let sending = conn.send(request);
             tokio::pin!(sending);
@@ -130,6 +132,10 @@
             }
         };
         let (head, body) = response.into_parts();
+        // Another life than the one expected tells nothing of this one.
+        if !self.dialect.answer(&head).displaced {
+            self.take_limit(&server.life, sent_at, &head.headers);
+        }
         self.take_answer(course, chosen, (conn, memory), head, body, wait)
             .await
     }
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -8,6 +8,7 @@
 use prometheus_client::metrics::gauge;
 use prometheus_client::metrics::histogram;
 
+use crate::direct::tally;
 use crate::edge::metric;
 
 /// Upper ends of latency buckets in seconds: from a network round trip to the longest deadline.
@@ -29,6 +30,11 @@
     service: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct For {
+    kind: String,
+}
+
 type Histograms = family::Family<Of, histogram::Histogram, fn() -> histogram::Histogram>;
 
 /// The metrics of an entry without sidecars. Labels are services, of which a configuration has
@@ -42,6 +48,8 @@
     attempts: family::Family<Ended, counter::Counter>,
     running: gauge::Gauge,
     refused_heartbeats: counter::Counter,
+    sent: family::Family<For, counter::Counter>,
+    limited: gauge::Gauge,
 }
 
 fn seconds() -> histogram::Histogram {
@@ -63,6 +71,8 @@
             attempts: family::Family::default(),
             running: gauge::Gauge::default(),
             refused_heartbeats: counter::Counter::default(),
+            sent: family::Family::default(),
+            limited: gauge::Gauge::default(),
         };
         let own = counts.clone();
         metrics.with(|registry| {
@@ -85,6 +95,12 @@
                 "Heartbeats that name no server to use",
                 own.refused_heartbeats,
             );
+            sub.register("sent", "Sent to backend servers, by what for", own.sent);
+            sub.register(
+                "limited_servers",
+                "Backend servers with a limit to which this entry sent something lately",
+                own.limited,
+            );
             sub.register("running", "Requests in progress", own.running);
         });
         counts
@@ -95,6 +111,24 @@
         self.refused_heartbeats.inc();
     }
 
+    /// Something goes to a backend server.
+    pub fn sent(&self, kind: tally::Kind) {
+        let kind = match kind {
+            tally::Kind::Request => "request",
+            tally::Kind::Probe => "probe",
+            tally::Kind::Order => "order",
+        };
+        let label = For {
+            kind: kind.to_owned(),
+        };
+        self.sent.get_or_create(&label).inc();
+    }
+
+    /// How many servers with a limit got something from this entry lately.
+    pub fn limited(&self, servers: usize) {
+        self.limited.set(i64::try_from(servers).unwrap_or(i64::MAX));
+    }
+
     /// A request began.
     pub fn began(&self) {
         self.running.inc();
--- a/src/edge/direct/dialect.rs
+++ b/src/edge/direct/dialect.rs
@@ -8,6 +8,7 @@
 use http::request;
 use http::response;
 
+use crate::direct::quota;
 use crate::direct::register;
 
 /// The sizes of a request to a model, as its caller gives them.
@@ -122,6 +123,9 @@
     /// Decodes the head of a backend server's answer.
     fn answer(&self, head: &response::Parts) -> Answer;
 
+    /// What the headers of any answer of a backend server say of the limit on what it takes.
+    fn limit(&self, headers: &HeaderMap) -> quota::Named;
+
     /// Path of a backend server's report on itself.
     fn report_path(&self) -> &'static str;
 
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -13,6 +13,7 @@
 use super::dialect;
 use super::pool;
 use crate::direct::register;
+use crate::direct::tally;
 use crate::wire::id;
 
 /// Time for a server to answer a question about itself; some round trips between zones.
@@ -70,15 +71,19 @@
                 .header(http::header::HOST, server.addr.to_string())
                 .body(Full::new(Bytes::new()))
                 .ok()?;
+            let sent = self.sent(&server.life, tally::Kind::Probe);
             let response = conn.send(request).await.ok()?;
-            let body = Limited::new(response.into_body(), 64 << 10);
+            let (head, body) = response.into_parts();
+            let body = Limited::new(body, 64 << 10);
             let body = body.collect().await.ok()?.to_bytes();
-            Some(self.dialect.report(&body).unwrap_or_default())
+            let report = self.dialect.report(&body).unwrap_or_default();
+            Some((report, sent, head.headers))
         };
-        let report = time::timeout(PROBE_TIMEOUT, asking).await.ok()??;
+        let (report, sent, headers) = time::timeout(PROBE_TIMEOUT, asking).await.ok()??;
         if !server.life.may_be(report.born) {
             return None;
         }
+        self.take_limit(&server.life, sent, &headers);
         if report.pace > 0.0 {
             self.state().healths.paced(&server.life, report.pace);
         }
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -17,6 +17,7 @@
 use super::Direct;
 use super::pool;
 use crate::direct::register;
+use crate::direct::tally;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -114,7 +115,7 @@
     let tries = direct.hold().as_millis() / RELEASE_PAUSE.as_millis().max(1);
     for _ in 0..=tries {
         let (path, body) = direct.dialect.release(&held.ticket);
-        if direct.order(held.addr, path, body).await.is_some() {
+        if direct.order(&held, path, body).await.is_some() {
             log_event!(direct.node.log(), Event::MemoryReleased, "server" => &held.server,
                 "ticket" => &held.ticket, "tokens" => held.tokens);
             return;
@@ -134,26 +135,28 @@
 
     async fn set_aside(&self, held: &Held) -> bool {
         let (path, body) = self.dialect.reserve(&held.ticket, held.tokens, self.hold());
-        let status = self.order(held.addr, path, body).await;
+        let status = self.order(held, path, body).await;
         status.is_some_and(|status| status.is_success())
     }
 
     /// Gives a server an order: the status of its answer.
     async fn order(
         &self,
-        addr: SocketAddr,
+        held: &Held,
         path: &'static str,
         body: Vec<u8>,
     ) -> Option<http::StatusCode> {
         let ordering = async {
-            let mut conn = pool::Conn::open(addr).await.ok()?;
+            let mut conn = pool::Conn::open(held.addr).await.ok()?;
             let request = http::Request::post(path)
-                .header(header::HOST, addr.to_string())
+                .header(header::HOST, held.addr.to_string())
                 .header(header::CONTENT_TYPE, "application/json")
                 .body(Full::new(Bytes::from(body)))
                 .ok()?;
+            let sent = self.sent(&held.server, tally::Kind::Order);
             let response = conn.send(request).await.ok()?;
             let status = response.status();
+            self.take_limit(&held.server, sent, response.headers());
             // The connection is closed with its answer read, so that nothing resets it.
             let _ = response.into_body().collect().await;
             Some(status)
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -68,6 +68,8 @@
     ServerDisplaced = 213, Warning, "another life of a backend server answers at an address";
     RequestSuspect = 214, Warning, "backend server died while it ran this request";
     HeartbeatRefused = 215, Warning, "heartbeat refused: it names no backend server to use";
+    ServerLimit = 216, Info, "backend server changed the limit on what it takes from all entries";
+    ServerSent = 217, Info, "sent lately from here to a backend server that names a limit";
     PeerSeen = 220, Info, "another process became known";
     PeerLost = 221, Warning, "another process has gone silent";
     DocumentInForce = 230, Info, "published configuration in force";
