Failing tests: a fleet of entries overruns the limit of a backend server

What callers saw: nothing; the backend server got several times what it takes.

The stand-in names a limit and keeps when anything arrived.

--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncReadExt as _;
 use tokio::io::AsyncWriteExt;
@@ -64,6 +65,10 @@
 #[derive(Debug, Default)]
 struct State {
     mood: Mood,
+    /// Requests a second that it takes from all, if it names a limit.
+    limit: Option<f64>,
+    /// When anything arrived: requests, questions and orders alike.
+    arrivals: Vec<Instant>,
     ran: Vec<Request>,
     tickets: BTreeMap<String, u64>,
 }
@@ -112,6 +117,16 @@
         self.state.lock().expect("state lock").mood = mood;
     }
 
+    /// Names a limit in all answers from now on, or none.
+    pub fn limit(&self, per_second: Option<f64>) {
+        self.state.lock().expect("state lock").limit = per_second;
+    }
+
+    /// When anything arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().expect("state lock").arrivals.clone()
+    }
+
     /// Requests that it ran.
     pub fn ran(&self) -> Vec<Request> {
         self.state.lock().expect("state lock").ran.clone()
@@ -198,19 +213,23 @@
     working: &Arc<AtomicUsize>,
     request: Request,
 ) -> std::io::Result<bool> {
+    let limit = {
+        let mut state = state.lock().expect("state lock");
+        state.arrivals.push(Instant::now());
+        let named = state.limit.map(|one| format!("Server-Limit: {one}\r\n"));
+        named.unwrap_or_default()
+    };
     if request.is("GET /v1/report") {
-        return answer(
-            tx,
-            "200 OK",
-            "",
-            b"{\"queued\":0,\"active\":0,\"pace\":1.0}",
-        )
-        .await;
+        let body = b"{\"queued\":0,\"active\":0,\"pace\":1.0}";
+        return answer(tx, "200 OK", &limit, body).await;
     }
     if request.is("POST /v1/order") {
-        return order(tx, state, &request).await;
+        return order(tx, state, &limit, &request).await;
     }
-    let echo = format!("X-Request-Id: {}\r\n", request.header("x-request-id"));
+    let echo = format!(
+        "{limit}X-Request-Id: {}\r\n",
+        request.header("x-request-id")
+    );
     if request.header("x-expect-instance") != id {
         return answer(tx, "421 Misdirected Request", &echo, b"").await;
     }
@@ -268,6 +287,7 @@
 async fn order(
     tx: &mut (impl AsyncWriteExt + Unpin),
     state: &Mutex<State>,
+    head: &str,
     request: &Request,
 ) -> std::io::Result<bool> {
     let order: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
@@ -284,7 +304,7 @@
             }
         }
     }
-    answer(tx, "200 OK", "", b"{\"free_slots\":1}").await
+    answer(tx, "200 OK", head, b"{\"free_slots\":1}").await
 }
 
 async fn answer(
