What reaches a backend server that names a limit is granted by one entry

Cause: the limit was not read, and a bound on what all entries send one server had no account.

Change: direct/quota believes and merges limits and grants, for a service at one entry, evenly spaced; a deputy grants half while that is silent. Limited servers are left out of ordinary placing and of questions, and are sent requests by a grant alone. A request without one is refused at once with its own time to come back. Why it works: whatever entries there are, the sum is decided at one place, and first and deputy together stay within one and a half times the limit (server_quota deputy_within_slack).

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -1,12 +1,14 @@
 //! What processes tell each other in datagrams: that they are there, which backend servers they
-//! heard, what they have running there, and which requests are suspect.
+//! heard, what they have running there, which requests are suspect, and what limits servers name.
 //!
 //! All of it is soft: each datagram stands alone, may be lost, doubled or late, and is said
 //! again. Nothing that must hold rests on it.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::board;
+use super::quota;
 use super::register;
 use crate::wire::id;
 
@@ -65,6 +67,37 @@
         Paces(Vec<(u64, u16)>),
         /// A backend server died while it ran this request.
         Died(id::Fingerprint, register::Life),
+        /// What is known of limits that backend servers name.
+        Limits(Vec<quota::Word>),
+        /// May one request go to one of these servers?
+        Ask(Ask),
+        /// Whether it may.
+        Grant(Grant),
+        /// Something was sent, without a grant, to a server that names a limit.
+        Charged(u64),
+    }
+
+    /// A question for a grant.
+    pub struct Ask {
+        /// Counts up at the process that asks.
+        pub number: u64,
+        /// The service.
+        pub service: String,
+        /// Its servers that would do, all of which name limits.
+        pub words: Vec<quota::Word>,
+        /// How long its request may wait.
+        pub most: Duration,
+    }
+
+    /// The answer to one.
+    #[derive(Copy)]
+    pub struct Grant {
+        /// Number of the question.
+        pub number: u64,
+        /// The server that may be sent the request. `None`: none.
+        pub server: Option<u64>,
+        /// When it may be sent it; without a server, when its caller is to come back.
+        pub wait: Duration,
     }
 }
 
@@ -81,6 +114,13 @@
     (used == bytes.len()).then_some(datagram)
 }
 
+/// Splits words on limits over datagrams that fit [`MAX_BYTES`].
+pub fn word_chunks(words: &[quota::Word]) -> impl Iterator<Item = Vec<quota::Word>> {
+    // A key, a number and a rate.
+    const WORD_BYTES: usize = 24;
+    words.chunks(MAX_BYTES / WORD_BYTES / 2).map(<[_]>::to_vec)
+}
+
 /// Splits records over datagrams that fit [`MAX_BYTES`].
 pub fn chunks(records: Vec<register::Record>) -> Vec<Vec<register::Record>> {
     // An id, a service, a zone, an address and some numbers.
--- a/src/direct/patience.rs
+++ b/src/direct/patience.rs
@@ -56,6 +56,9 @@
 /// The same in pauses that are still on time: what moves is read again from its beginning.
 const STUCK_PAUSES: u32 = 5;
 
+/// Part of the time left until its caller gives up that a request may wait for a grant.
+const LATE_GRANT: u32 = 8;
+
 /// How long a request has waited for its first event, and may.
 #[derive(Clone, Copy, Debug)]
 pub struct Wait {
@@ -106,6 +109,13 @@
         !place::is_long(engine, need) && self.left > HOLD_LEFT
     }
 
+    /// How long a request may wait until a server that names a limit takes it: it is on time as a rule,
+    /// or a little late where it can hardly be on time any more.
+    pub fn for_grant(&self) -> Duration {
+        let on_time = self.aim.saturating_sub(self.waited) / 2;
+        on_time.max(self.left / LATE_GRANT)
+    }
+
     /// Rank of a long prompt that waits for its turn: the lowest goes first. Those that can still
     /// be on time go first, the shortest of them before others, so that it waits least; who has
     /// waited for long gains. Then those that would soon be given up; the others are late already,
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -6,6 +6,7 @@
 use super::lane;
 use super::model;
 
+pub mod lone;
 mod long;
 mod short;
 mod split;
@@ -110,7 +111,7 @@
     }
 
     /// Whether its first event comes within `aim` even if it comes later than predicted.
-    fn is_surely_on_time(&self, aim: Duration) -> bool {
+    pub fn is_surely_on_time(&self, aim: Duration) -> bool {
         self.first_ms <= aim.as_secs_f64() * 1e3 * SURE_PART
     }
 
--- a/src/direct/place/short.rs
+++ b/src/direct/place/short.rs
@@ -53,7 +53,7 @@
     let mut best: Option<(f64, usize, f64)> = None;
     for at in sample(engine, need, servers, lanes) {
         let one = &servers[at];
-        let first_ms = short_ms(engine, need, one, part_ms);
+        let first_ms = first_ms(engine, need, one, part_ms);
         let other = if lanes[at] == Lane::Tight {
             0.0
         } else {
@@ -114,7 +114,7 @@
 }
 
 /// Milliseconds until the first event of a prompt of which a server reads `part_ms`.
-fn short_ms(
+pub(super) fn first_ms(
     engine: &model::Engine,
     need: &place::Need,
     server: &place::Server,
--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -1,9 +1,16 @@
 //! Limits that backend servers in need name on what they take from all entries together.
+//!
+//! A limit bounds a sum over entries, so it has one account: for each service one entry grants what
+//! the others send to its servers with a limit, and spaces it evenly. Whoever grants in its place
+//! while it does not answer grants half, so that both together stay within one and a half times what
+//! a server takes.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use super::register;
+use super::board;
 
 key! {
     /// Requests in 1,000 seconds.
@@ -34,64 +41,297 @@
     Unreadable,
 }
 
+data! {
+    /// What processes tell each other of a server's limit.
+    #[derive(Copy)]
+    pub struct Word {
+        /// The server, see [`super::board::server_key`].
+        pub server: u64,
+        /// Changes of the limit so far, as far as known: of two words the later change holds.
+        pub change: u32,
+        /// The limit. `None`: it names none any more.
+        pub limit: Option<Rate>,
+    }
+}
+
+/// Whose account an entry keeps.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Account {
+    /// The one that counts.
+    First,
+    /// That of an entry which grants while the first does not answer.
+    Deputy,
+}
+
+impl Account {
+    /// How much longer than a limit says the time between two grants is.
+    fn stretch(self) -> u32 {
+        match self {
+            Self::First => 1,
+            Self::Deputy => 2,
+        }
+    }
+}
+
+/// A grant: one request to a server, after a wait.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Slot {
+    /// The server.
+    pub server: u64,
+    /// Time until it may be sent.
+    pub wait: Duration,
+}
+
+/// Longest time between two grants: a server that takes nothing is still asked now and then, since
+/// only its answers tell that it takes more.
+const LONGEST_GAP: Duration = Duration::from_secs(10);
+
+/// How much earlier than evenly spaced a grant may be used, so that requests which come at random
+/// use up what a server takes; one request early at the most.
+const EARLY: Duration = Duration::from_millis(250);
+
+/// Time after which a limit that nobody told of again may have ended.
+const STALE: Duration = Duration::from_secs(6);
+
+/// Farthest time for which callers are told to come back.
+const MOST_PROMISED: Duration = Duration::from_secs(6);
+
+/// Time to come back where nothing better is known.
+pub const COME_BACK: Duration = Duration::from_millis(300);
+
 #[derive(Debug)]
 struct Known {
+    change: u32,
     limit: Option<Rate>,
-    /// When the limit was last named or lifted.
+    /// When the limit was last named, lifted or told of.
     at: Duration,
+    /// When an answer to this entry last named or lifted it.
+    heard: Option<Duration>,
+    /// When the next grant is due, if evenly spaced.
+    next: Duration,
 }
 
-/// The limits known, by the life of the server.
+/// The limits known, and what was granted here.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    by_life: HashMap<register::Life, Known>,
+    by_server: HashMap<u64, Known>,
+    /// Until when callers of a service were told to come back.
+    promised: HashMap<String, Duration>,
 }
 
 impl Quotas {
-    /// Takes what an answer says to something sent at `sent`. Whether it changes what is known.
+    /// Takes what an answer says to something sent at `sent`: the word to tell others, if it changes
+    /// what is known.
     ///
     /// Answers overtake each other. So one without a limit lifts it only if it answers what was sent
     /// after the limit was last named.
     pub fn heard(
         &mut self,
         now: Duration,
-        life: &register::Life,
+        server: u64,
         sent: Duration,
         named: Named,
-    ) -> bool {
-        let known = self.by_life.get_mut(life);
-        match (named, known) {
-            (Named::Limit(rate), Some(known)) => {
-                known.at = now;
-                known.limit.replace(rate) != Some(rate)
-            }
-            (Named::Limit(rate), None) => {
-                let limit = Some(rate);
-                self.by_life.insert(life.clone(), Known { limit, at: now });
-                true
-            }
-            (Named::Nothing, Some(known)) if known.limit.is_some() && sent > known.at => {
-                known.at = now;
-                known.limit = None;
-                true
-            }
-            (Named::Nothing | Named::Unreadable, _) => false,
+    ) -> Option<Word> {
+        let known = self.by_server.get(&server);
+        let before = known.and_then(|one| one.limit);
+        let limit = match named {
+            Named::Limit(rate) => Some(rate),
+            Named::Nothing if known.is_some_and(|one| sent > one.at) => None,
+            Named::Nothing | Named::Unreadable => return None,
+        };
+        if limit.is_none() && before.is_none() {
+            return None;
+        }
+        let change = known.map_or(0, |one| one.change);
+        let is_new = limit != before;
+        let change = if is_new { change + 1 } else { change };
+        let word = Word {
+            server,
+            change,
+            limit,
+        };
+        self.set(now, &word);
+        let known = self.by_server.get_mut(&server)?;
+        known.heard = Some(now);
+        is_new.then_some(word)
+    }
+
+    /// Takes another entry's word. Whether it changes what is known.
+    pub fn told(&mut self, now: Duration, word: &Word) -> bool {
+        let known = self.by_server.get(&word.server);
+        let before = known.map(|one| (one.change, one.limit));
+        let is_later = before.is_none_or(|(change, limit)| {
+            // Two entries that saw different changes at once: the lower limit holds.
+            word.change > change || (word.change == change && is_lower(word.limit, limit))
+        });
+        let is_same = before == Some((word.change, word.limit));
+        if is_later || is_same {
+            self.set(now, word);
+        }
+        is_later && before.and_then(|(_, limit)| limit) != word.limit
+    }
+
+    fn set(&mut self, now: Duration, word: &Word) {
+        let gap = word.limit.map_or(Duration::ZERO, gap);
+        let known = self.by_server.entry(word.server).or_insert(Known {
+            change: word.change,
+            limit: None,
+            at: now,
+            heard: None,
+            next: now,
+        });
+        if known.limit != word.limit {
+            // Requests from before are on their way.
+            known.next = now + gap;
         }
+        known.change = word.change;
+        known.limit = word.limit;
+        known.at = now;
+    }
+
+    /// Whether no server names a limit.
+    pub fn is_empty(&self) -> bool {
+        self.by_server.values().all(|one| one.limit.is_none())
     }
 
     /// The limit that a server names.
-    pub fn limit(&self, life: &register::Life) -> Option<Rate> {
-        self.by_life.get(life).and_then(|one| one.limit)
+    pub fn limit(&self, server: u64) -> Option<Rate> {
+        self.by_server.get(&server).and_then(|one| one.limit)
+    }
+
+    /// Whether a limit has not been told of for so long that it may have ended.
+    pub fn is_stale(&self, now: Duration, server: u64) -> bool {
+        let known = self.by_server.get(&server);
+        known.is_some_and(|one| one.limit.is_some() && now >= one.at + STALE)
+    }
+
+    /// What is known of a server.
+    pub fn word(&self, server: u64) -> Option<Word> {
+        let known = self.by_server.get(&server)?;
+        Some(Word {
+            server,
+            change: known.change,
+            limit: known.limit,
+        })
+    }
+
+    /// What was heard here within `span`, to be told again.
+    pub fn lately(&self, now: Duration, span: Duration) -> Vec<Word> {
+        let known = self.by_server.iter();
+        let heard = known.filter(|(_, one)| one.heard.is_some_and(|at| now < at + span));
+        heard.filter_map(|(server, _)| self.word(*server)).collect()
+    }
+
+    /// All that is known, for whoever knows nothing yet.
+    pub fn words(&self) -> Vec<Word> {
+        let servers = self.by_server.keys();
+        servers.filter_map(|server| self.word(*server)).collect()
     }
 
-    /// Servers that name a limit.
-    pub fn limited(&self) -> impl Iterator<Item = (&register::Life, Rate)> {
-        let limits = self.by_life.iter();
-        limits.filter_map(|(life, known)| known.limit.map(|rate| (life, rate)))
+    /// Grants one request to one of `servers` of `service`, to that which may be sent one soonest.
+    /// Otherwise, where that takes longer than `most`: when its caller is to come back, each at
+    /// another time.
+    pub fn grant(
+        &mut self,
+        now: Duration,
+        service: &str,
+        servers: &[u64],
+        most: Duration,
+        account: Account,
+    ) -> Result<Slot, Duration> {
+        let slots = servers.iter().filter_map(|server| {
+            let wait = self.wait(now, *server)?;
+            let server = *server;
+            Some(Slot { server, wait })
+        });
+        let Some(slot) = slots.min_by_key(|one| one.wait) else {
+            return Err(COME_BACK);
+        };
+        if slot.wait > most {
+            return Err(self.promise(now, service, servers, slot.wait));
+        }
+        self.take(now, slot, account);
+        Ok(slot)
     }
 
-    /// Forgets servers that are not in `known`.
-    pub fn retain(&mut self, known: impl Fn(&register::Life) -> bool) {
-        self.by_life.retain(|life, _| known(life));
+    /// Takes note of something that had to be sent to a server without a grant.
+    pub fn charge(&mut self, now: Duration, server: u64) {
+        let wait = Duration::ZERO;
+        self.take(now, Slot { server, wait }, Account::First);
     }
+
+    fn wait(&self, now: Duration, server: u64) -> Option<Duration> {
+        let known = self.by_server.get(&server)?;
+        let early = gap(known.limit?).min(EARLY);
+        Some(known.next.saturating_sub(now + early))
+    }
+
+    fn take(&mut self, now: Duration, slot: Slot, account: Account) {
+        let Some(known) = self.by_server.get_mut(&slot.server) else {
+            return;
+        };
+        if let Some(rate) = known.limit {
+            let gap = gap(rate) * account.stretch();
+            known.next = known.next.max(now + slot.wait) + gap;
+        }
+    }
+
+    /// When the next caller of a service is to come back: callers are spread over the time in which
+    /// their servers can take them.
+    fn promise(
+        &mut self,
+        now: Duration,
+        service: &str,
+        servers: &[u64],
+        least: Duration,
+    ) -> Duration {
+        let rates = servers.iter().filter_map(|server| self.limit(*server));
+        let together: u64 = rates.map(|rate| rate.0).sum();
+        let soonest = now + least;
+        let before = self.promised.get(service).copied().unwrap_or_default();
+        let at = before.max(soonest).min(now + MOST_PROMISED.max(least));
+        self.promised
+            .insert(service.to_owned(), at + gap(Rate(together)));
+        at.saturating_sub(now)
+    }
+
+    /// Forgets servers that are not in `known`, and promises that are over.
+    pub fn retain(&mut self, now: Duration, known: impl Fn(u64) -> bool) {
+        self.by_server.retain(|server, _| known(*server));
+        self.promised.retain(|_, until| now < *until);
+    }
+}
+
+/// Time between two requests to a server that takes so many.
+fn gap(rate: Rate) -> Duration {
+    let per_second = rate.per_second();
+    if per_second * LONGEST_GAP.as_secs_f64() <= 1.0 {
+        return LONGEST_GAP;
+    }
+    Duration::from_secs_f64(1.0 / per_second)
+}
+
+/// Whether a limit allows less than another; none allows most.
+fn is_lower(one: Option<Rate>, other: Option<Rate>) -> bool {
+    match (one, other) {
+        (Some(one), Some(other)) => one < other,
+        (one, other) => one.is_some() && other.is_none(),
+    }
+}
+
+/// Brings entries into the order in which they grant for a service: the first does, the next is its
+/// deputy. The same everywhere, and another one for each service.
+pub fn grantors(service: &str, mut entries: Vec<SocketAddr>) -> Vec<SocketAddr> {
+    let service = board::key(service);
+    entries.sort_by_cached_key(|entry| (rank(service, entry), *entry));
+    entries
+}
+
+fn rank(service: u64, entry: &SocketAddr) -> u64 {
+    let ip = match entry.ip() {
+        IpAddr::V4(ip) => u64::from(ip.to_bits()),
+        IpAddr::V6(ip) => ip.to_bits() as u64,
+    };
+    let mixed = (service ^ ip).wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ u64::from(entry.port());
+    (mixed ^ (mixed >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9)
 }
--- a/src/direct/tally.rs
+++ b/src/direct/tally.rs
@@ -66,6 +66,11 @@
         sent
     }
 
+    /// Servers to which something was sent lately.
+    pub fn servers(&self) -> impl Iterator<Item = &register::Life> {
+        self.by_life.keys()
+    }
+
     /// Forgets servers to which nothing was sent lately.
     pub fn prune(&mut self, now: Duration) {
         self.by_life.retain(|_, times| {
--- a/src/direct/verdict.rs
+++ b/src/direct/verdict.rs
@@ -10,6 +10,8 @@
 pub enum End {
     /// It was turned away: too many wait.
     Away,
+    /// Its servers take no more than they are sent: when to come back.
+    Limited(Duration),
     /// Nothing was sent: no connection came about.
     Unsent,
     /// The server says that it did not run it, and, if known, which server was at fault.
@@ -34,7 +36,10 @@
 impl End {
     /// Whether the request certainly has not run.
     pub fn not_run(&self) -> bool {
-        matches!(self, Self::Away | Self::Unsent | Self::NotRun { .. })
+        matches!(
+            self,
+            Self::Away | Self::Limited(_) | Self::Unsent | Self::NotRun { .. }
+        )
     }
 }
 
@@ -58,7 +63,7 @@
     if left < LEAST_LEFT || past.tried >= MOST_TRIES {
         return false;
     }
-    if matches!(end, End::Away | End::Late) {
+    if matches!(end, End::Away | End::Limited(_) | End::Late) {
         return false;
     }
     if end.not_run() {
@@ -90,6 +95,11 @@
 
 /// What a caller is told after the last attempt ended.
 pub fn refusal(end: &End, past: Past, left: Duration) -> Refusal {
+    if let End::Limited(come_back) = end
+        && past.ran == 0
+    {
+        return Refusal::Busy(*come_back);
+    }
     if past.ran == 0 && *end != End::Late {
         return Refusal::Busy((left / 6).clamp(COME_BACK.0, COME_BACK.1));
     }
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -1,6 +1,7 @@
 //! An entry that drives backend servers itself: callers' requests in, one client of backend
 //! servers, and the datagrams between processes.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -39,6 +40,7 @@
 pub mod host;
 pub mod lines;
 pub mod mesh;
+mod permit;
 pub mod pool;
 mod probe;
 pub mod publish;
@@ -115,6 +117,9 @@
     /// Records to pass on at once.
     news: Mutex<Vec<gossip::News>>,
     news_came: Notify,
+    /// What to tell single processes, once.
+    letters: Mutex<Vec<(SocketAddr, gossip::News)>>,
+    asked: Mutex<permit::Asked>,
     /// A configuration came into force, or a backend server became known.
     gained: Notify,
 }
@@ -152,6 +157,8 @@
             loads_changed: Notify::new(),
             news: Mutex::default(),
             news_came: Notify::new(),
+            letters: Mutex::default(),
+            asked: Mutex::default(),
             gained: Notify::new(),
             settings,
         })
@@ -289,6 +296,12 @@
         self.news_came.notify_one();
     }
 
+    /// Tells one other process at once, and once.
+    pub(crate) fn tell_one(&self, to: SocketAddr, news: gossip::News) {
+        self.letters.lock().expect("letters lock").push((to, news));
+        self.news_came.notify_one();
+    }
+
     /// Processes that take callers' requests, this one among them.
     pub(crate) fn entries(&self) -> usize {
         let known = 1 + self.roster().all().filter(|one| one.serves).count();
@@ -303,16 +316,15 @@
     pub fn sweep(&self) {
         self.pool.prune();
         self.tell_sent();
+        self.prune_asked();
         let now = self.node.now();
         let mut state = self.state();
         state.register.prune(now);
         let State {
-            register,
-            healths,
-            quotas,
-            ..
+            register, healths, ..
         } = &mut *state;
         healths.retain(|life| register.get(life).is_some());
-        quotas.retain(|life| register.get(life).is_some());
+        drop(state);
+        self.prune_limits();
     }
 }
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -1,8 +1,11 @@
-//! What is sent to backend servers, and the limits that these name, counted and logged.
+//! What is sent to backend servers, and the limits that these name.
 
+use std::collections::HashSet;
 use std::time::Duration;
 
 use super::Direct;
+use crate::direct::board;
+use crate::direct::gossip;
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
@@ -28,39 +31,82 @@
         let now = self.node.now();
         let named = self.dialect.limit(headers);
         let mut state = self.state();
-        if !state.quotas.heard(now, life, sent, named) {
+        if named == quota::Named::Nothing && state.quotas.is_empty() {
             return;
         }
+        let server = board::server_key(life);
+        let Some(word) = state.quotas.heard(now, server, sent, named) else {
+            return;
+        };
         let lately = state.tally.lately(now, life);
         drop(state);
-        let limit = match named {
-            quota::Named::Limit(rate) => rate.per_second().to_string(),
-            quota::Named::Nothing | quota::Named::Unreadable => "none".to_owned(),
-        };
-        log_event!(self.node.log(), Event::ServerLimit, "server" => life, "limit" => limit,
+        self.tell(gossip::News::Limits(vec![word]));
+        log_event!(self.node.log(), Event::ServerLimit, "server" => life, "change" => word.change,
+            "limit" => shown(word.limit), "direct" => true,
             "age_ms" => now.saturating_sub(sent).as_millis() as u64, "requests" => lately.requests,
             "probes" => lately.probes, "orders" => lately.orders);
     }
 
+    /// Takes what other entries know of limits.
+    pub(super) fn take_words(&self, words: &[quota::Word]) {
+        let now = self.node.now();
+        for word in words {
+            if !self.state().quotas.told(now, word) {
+                continue;
+            }
+            let life = self.life_of(word.server);
+            log_event!(self.node.log(), Event::ServerLimit,
+                "server" => life.map_or(String::new(), |one| one.to_string()),
+                "change" => word.change, "limit" => shown(word.limit), "direct" => false);
+        }
+    }
+
+    fn life_of(&self, server: u64) -> Option<register::Life> {
+        let state = self.state();
+        let mut known = state.register.all();
+        let found = known.find(|one| board::server_key(&one.life) == server);
+        found.map(|one| one.life.clone())
+    }
+
     /// Logs what was sent lately to servers that name a limit. To be called each second.
     pub(super) fn tell_sent(&self) {
         let now = self.node.now();
         let mut state = self.state();
-        let super::State { quotas, tally, .. } = &mut *state;
-        tally.prune(now);
-        let sent: Vec<_> = quotas
-            .limited()
-            .map(|(life, rate)| (life.clone(), rate, tally.lately(now, life)))
-            .filter(|(_, _, sent)| *sent != tally::Sent::default())
-            .collect();
-        drop(state);
-        self.counts.limited(sent.len());
-        for (life, rate, sent) in sent {
+        state.tally.prune(now);
+        let lives: Vec<register::Life> = if state.quotas.is_empty() {
+            Vec::new()
+        } else {
+            state.tally.servers().cloned().collect()
+        };
+        let mut limited = 0;
+        for life in lives {
+            let Some(limit) = state.quotas.limit(board::server_key(&life)) else {
+                continue;
+            };
+            limited += 1;
+            let sent = state.tally.lately(now, &life);
             if self.lines.allow(Event::ServerSent, now) {
                 log_event!(self.node.log(), Event::ServerSent, "server" => &life,
-                    "limit" => rate.per_second(), "requests" => sent.requests,
+                    "limit" => limit.per_second(), "requests" => sent.requests,
                     "probes" => sent.probes, "orders" => sent.orders);
             }
         }
+        drop(state);
+        self.counts.limited(limited);
+    }
+
+    /// Forgets limits of servers that are not known any more.
+    pub(super) fn prune_limits(&self) {
+        let now = self.node.now();
+        let mut state = self.state();
+        let known: HashSet<u64> = {
+            let all = state.register.all();
+            all.map(|one| board::server_key(&one.life)).collect()
+        };
+        state.quotas.retain(now, |server| known.contains(&server));
     }
 }
+
+fn shown(limit: Option<quota::Rate>) -> String {
+    limit.map_or_else(|| "none".to_owned(), |one| one.per_second().to_string())
+}
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -314,7 +314,7 @@
                 self.state().healths.answered(now, &server.life, false);
             }
             verdict::End::NotRun { at_fault, .. } => self.blame(server, at_fault.as_deref()),
-            verdict::End::Away | verdict::End::Late => {}
+            verdict::End::Away | verdict::End::Limited(_) | verdict::End::Late => {}
         }
     }
 }
@@ -340,6 +340,7 @@
 fn end_name(end: &verdict::End) -> &'static str {
     match end {
         verdict::End::Away => "away",
+        verdict::End::Limited(_) => "limited",
         verdict::End::Unsent => "unsent",
         verdict::End::NotRun { .. } => "not_run",
         verdict::End::Broken => "broken",
--- a/src/edge/direct/checkup.rs
+++ b/src/edge/direct/checkup.rs
@@ -50,7 +50,9 @@
     let state = direct.state();
     let engines = catalog.services().iter().filter(|one| one.engine.is_some());
     let servers = engines.flat_map(|one| state.register.ready(now, &one.name));
-    let own = servers.filter(|(one, _)| {
+    // A server that names a limit is not asked: questions count against it.
+    let open = servers.filter(|(one, _)| !state.is_limited(&one.life));
+    let own = open.filter(|(one, _)| {
         let ranks = entries.iter().map(|addr| (rank(&one.life, *addr), *addr));
         ranks.max().is_some_and(|(_, addr)| addr == me)
     });
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -2,16 +2,20 @@
 //! long prompts that wait for their turn.
 
 use std::sync::Arc;
+use std::sync::MutexGuard;
 use std::time::Duration;
 
 use tokio::time;
 
 use super::Direct;
 use super::course::Course;
+use super::permit::Occasion;
 use super::turn;
 use crate::direct::board;
 use crate::direct::patience;
 use crate::direct::place;
+use crate::direct::place::lone;
+use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::verdict;
 use crate::edge::event::Event;
@@ -111,6 +115,21 @@
         if course.may_hold() && place.is_full(course.route.objective) {
             return Choice::Full;
         }
+        Choice::Now(Box::new(
+            self.seat(state, course, &records, &servers, place),
+        ))
+    }
+
+    /// Takes a request's place on the board.
+    pub(super) fn seat(
+        self: &Arc<Self>,
+        mut state: MutexGuard<'_, super::State>,
+        course: &Course,
+        records: &[register::Record],
+        servers: &[place::Server],
+        place: place::Place,
+    ) -> Chosen {
+        let now = self.node.now();
         let prompt = course.ask.size.map_or(0, |size| size.prompt);
         let part = |(at, memory): (usize, u64)| board::Part {
             server: servers[at].key,
@@ -133,6 +152,7 @@
             is_long: place.takes_turn,
             reads: (now, now + patience::millis(place.first_ms)),
         };
+        let limit = state.quotas.limit(servers[place.first].key);
         let ticket = state.board.enter(now, claim);
         drop(state);
         self.loads_changed.notify_one();
@@ -141,18 +161,19 @@
             ticket,
         };
         let load = servers[place.first].load;
+        let limit = limit.map_or(0.0, quota::Rate::per_second);
         if self.lines.allow(Event::RequestPlaced, now) {
             log_event!(self.node.log(), Event::RequestPlaced, "request" => &course.ask.id,
                 "route" => &course.route.name, "config" => course.version,
                 "server" => &records[place.first].life, "prompt" => prompt, "aside" => place.aside.iter().sum::<u64>(),
                 "helpers" => place.helpers.iter().map(|at| records[*at].life.to_string()).collect::<Vec<_>>().join(","), "first_ms" => place.first_ms as u64,
                 "writers" => load.writers, "readers" => load.readers, "backlog_ms" => load.backlog_ms,
-                "objective_ms" => course.route.objective.as_millis() as u64,
+                "limit" => limit, "objective_ms" => course.route.objective.as_millis() as u64,
                 "bound_ms" => course.route.pause.map_or(0, |one| one.as_millis() as u64),
                 "tried" => course.past.tried, "waited_ms" => course.began.elapsed().as_millis() as u64,
                 "left_ms" => course.left().as_millis() as u64);
         }
-        Choice::Now(Box::new(Chosen {
+        Chosen {
             server: records[place.first].clone(),
             helpers: place
                 .helpers
@@ -162,7 +183,7 @@
             aside: place.aside,
             first_ms: place.first_ms,
             seat,
-        }))
+        }
     }
 
     /// Whether a request that waits for `server`, which is there, had better go elsewhere.
@@ -187,7 +208,7 @@
     }
 
     /// What is known of servers, for placing.
-    fn servers(
+    pub(super) fn servers(
         &self,
         state: &mut super::State,
         now: Duration,
@@ -249,6 +270,9 @@
         if is_long && let Choice::Now(chosen) = self.choose(course, Reading::Beside) {
             return Ok(*chosen);
         }
+        if let Ok(Some(chosen)) = self.choose_limited(course, Occasion::Spare).await {
+            return Ok(chosen);
+        }
         let mut turn = turn::Turn::new(self);
         loop {
             if self.turns_away(course) {
@@ -257,10 +281,14 @@
             if turn.has_come(course) {
                 match self.choose(course, Reading::Lane) {
                     Choice::Now(chosen) => return Ok(*chosen),
-                    Choice::Nowhere => return Err(verdict::End::Unsent),
+                    Choice::Nowhere => return self.choose_only(course).await,
                     Choice::Later => turn.wait(course),
                     Choice::NotNow => turn.leave(),
                     Choice::Full => {
+                        let limited = self.choose_limited(course, Occasion::Full);
+                        if let Ok(Some(chosen)) = limited.await {
+                            return Ok(chosen);
+                        }
                         time::sleep(full_pause(course)).await;
                         continue;
                     }
@@ -274,6 +302,15 @@
             time::sleep(turn.pause()).await;
         }
     }
+
+    /// Chooses a server where there are none but those that name a limit, if any.
+    async fn choose_only(self: &Arc<Self>, course: &Course) -> Result<Chosen, verdict::End> {
+        match self.choose_limited(course, Occasion::Only).await {
+            Ok(Some(chosen)) => Ok(chosen),
+            Ok(None) => Err(verdict::End::Unsent),
+            Err(come_back) => Err(verdict::End::Limited(come_back)),
+        }
+    }
 }
 
 /// Pause before a request looks again for a server that is not full: who is late already leaves
@@ -286,30 +323,61 @@
     }
 }
 
-/// Servers that a request may go to: those in good standing; failing that, any.
+/// Servers that a request may go to, but for those that name a limit: those in good standing;
+/// failing that, any, if no server with a limit is in good standing.
 fn candidates(state: &super::State, now: Duration, course: &Course) -> Vec<register::Record> {
     let ready: Vec<(&register::Record, Duration)> =
         state.register.ready(now, &course.service).collect();
-    let untried = |one: &register::Record| !course.tried.contains(&one.life);
-    let good: Vec<register::Record> = ready
+    let good = ready
         .iter()
-        .filter(|(one, age)| {
-            *age < UNHEARD && untried(one) && !state.healths.is_out(now, &one.life)
-        })
-        .map(|(one, _)| (*one).clone())
-        .collect();
-    if !good.is_empty() {
-        return good;
+        .filter(|(one, age)| is_good(state, now, course, one, *age));
+    let (limited, open): (Vec<&register::Record>, Vec<&register::Record>) = good
+        .map(|(one, _)| *one)
+        .partition(|one| state.is_limited(&one.life));
+    if !open.is_empty() || !limited.is_empty() {
+        return open.into_iter().cloned().collect();
     }
-    let rest: Vec<register::Record> = ready
-        .iter()
-        .filter(|(one, _)| untried(one))
-        .map(|(one, _)| (*one).clone())
-        .collect();
+    let open = ready.iter().map(|(one, _)| *one);
+    let open: Vec<&register::Record> = open.filter(|one| !state.is_limited(&one.life)).collect();
+    let untried = |one: &&&register::Record| !course.tried.contains(&one.life);
+    let rest: Vec<register::Record> = open.iter().filter(untried).copied().cloned().collect();
     if !rest.is_empty() {
         return rest;
     }
-    ready.iter().map(|(one, _)| (*one).clone()).collect()
+    open.into_iter().cloned().collect()
+}
+
+/// Servers that name a limit: those in good standing; failing that, any if there is no `other`.
+pub(super) fn limited(
+    state: &super::State,
+    now: Duration,
+    course: &Course,
+    other: bool,
+) -> Vec<register::Record> {
+    let ready = state.register.ready(now, &course.service);
+    let all: Vec<(&register::Record, Duration)> = ready
+        .filter(|(one, _)| state.is_limited(&one.life))
+        .collect();
+    let good = all
+        .iter()
+        .filter(|(one, age)| is_good(state, now, course, one, *age));
+    let good: Vec<register::Record> = good.map(|(one, _)| (*one).clone()).collect();
+    if !good.is_empty() || other {
+        return good;
+    }
+    all.into_iter().map(|(one, _)| one.clone()).collect()
+}
+
+/// Whether a server is heard of, answers, and has not failed this request before.
+fn is_good(
+    state: &super::State,
+    now: Duration,
+    course: &Course,
+    server: &register::Record,
+    age: Duration,
+) -> bool {
+    let untried = !course.tried.contains(&server.life);
+    age < UNHEARD && untried && !state.healths.is_out(now, &server.life)
 }
 
 /// Finds the place of a long prompt among `servers` that have room for it beside their writers.
@@ -321,13 +389,9 @@
 /// Finds the place of a request among `servers`.
 fn locate(course: &Course, servers: &[place::Server], any_waits: bool) -> Option<place::Place> {
     let alone = |first: usize, first_ms: f64| place::Place {
-        first,
-        helpers: Vec::new(),
-        aside: Vec::new(),
         first_ms,
         part_ms: first_ms,
-        delay_ms: 0.0,
-        takes_turn: false,
+        ..lone::plain(first)
     };
     let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
         return place::plain(servers, course.need().draw).map(|at| alone(at, 0.0));
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -50,6 +50,7 @@
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
     limited: gauge::Gauge,
+    grants: family::Family<For, counter::Counter>,
 }
 
 fn seconds() -> histogram::Histogram {
@@ -73,6 +74,7 @@
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
             limited: gauge::Gauge::default(),
+            grants: family::Family::default(),
         };
         let own = counts.clone();
         metrics.with(|registry| {
@@ -101,6 +103,7 @@
                 "Backend servers with a limit to which this entry sent something lately",
                 own.limited,
             );
+            sub.register("grants", "Grants asked for, by outcome", own.grants);
             sub.register("running", "Requests in progress", own.running);
         });
         counts
@@ -118,10 +121,18 @@
             tally::Kind::Probe => "probe",
             tally::Kind::Order => "order",
         };
-        let label = For {
-            kind: kind.to_owned(),
-        };
-        self.sent.get_or_create(&label).inc();
+        self.sent.get_or_create(&kind_of(kind)).inc();
+    }
+
+    /// Another process answered whether it grants a request.
+    pub fn granted(&self, granted: bool) {
+        let outcome = if granted { "granted" } else { "denied" };
+        self.grants.get_or_create(&kind_of(outcome)).inc();
+    }
+
+    /// Another process did not answer whether it grants a request.
+    pub fn unanswered(&self) {
+        self.grants.get_or_create(&kind_of("unanswered")).inc();
     }
 
     /// How many servers with a limit got something from this entry lately.
@@ -167,6 +178,12 @@
     }
 }
 
+fn kind_of(kind: &str) -> For {
+    For {
+        kind: kind.to_owned(),
+    }
+}
+
 fn of(service: &str) -> Of {
     Of {
         service: service.to_owned(),
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -164,6 +164,10 @@
 
     fn take_news(&mut self) {
         let since = self.direct.node.now();
+        let letters = std::mem::take(&mut *self.direct.letters.lock().expect("letters lock"));
+        for (to, news) in letters {
+            self.send(news, &[to]);
+        }
         let news = std::mem::take(&mut *self.direct.news.lock().expect("news lock"));
         let repeats = news.into_iter().map(|news| Repeat {
             news,
@@ -269,6 +273,10 @@
             for records in gossip::chunks(heard) {
                 self.send_all(gossip::News::Records(records));
             }
+            let limits = self.direct.state().quotas.lately(now, PASS_ON);
+            for words in gossip::word_chunks(&limits) {
+                self.send_all(gossip::News::Limits(words));
+            }
         }
         self.loads_due = true;
         self.loads_whole = true;
@@ -416,6 +424,13 @@
             gossip::News::Died(request, server) => {
                 self.direct.state().suspects.died(now, request, &server);
             }
+            gossip::News::Limits(words) => self.direct.take_words(&words),
+            gossip::News::Ask(ask) => {
+                let grant = self.direct.grant_asked(&ask);
+                self.send(gossip::News::Grant(grant), &[from.link]);
+            }
+            gossip::News::Grant(grant) => self.direct.take_grant(grant),
+            gossip::News::Charged(server) => self.direct.take_charge(server),
         }
         if from.version > self.direct.node.documents().version() {
             self.pull(from.link);
@@ -439,6 +454,10 @@
         for records in gossip::chunks(heard) {
             self.send(gossip::News::Records(records), &[addr]);
         }
+        let limits = self.direct.state().quotas.words();
+        for words in gossip::word_chunks(&limits) {
+            self.send(gossip::News::Limits(words), &[addr]);
+        }
         self.loads_due = true;
         self.loads_whole = true;
     }
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -43,6 +43,11 @@
         fingerprint: id::Fingerprint,
         server: register::Record,
     ) {
+        if self.state().is_limited(&server.life) {
+            let now = self.node.now();
+            self.state().healths.answered(now, &server.life, false);
+            return;
+        }
         let direct = Arc::clone(self);
         tokio::spawn(async move {
             if direct.probe(&server).await.is_none() {
@@ -58,7 +63,12 @@
     /// Ends when the server answers no question about itself.
     pub(super) async fn dead(&self, server: &register::Record, quiet: Duration) {
         time::sleep(quiet).await;
-        while self.probe(server).await.is_some() {
+        // A server that names a limit is not asked: questions count against it.
+        loop {
+            let limited = self.state().is_limited(&server.life);
+            if !limited && self.probe(server).await.is_none() {
+                return;
+            }
             time::sleep(PROBE_PAUSE).await;
         }
     }
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -102,11 +102,19 @@
 }
 
 async fn renew(direct: Arc<Direct>, held: Vec<Held>) {
-    loop {
+    for round in 1_u32.. {
         time::sleep(direct.hold() / RENEWALS).await;
         for one in &held {
+            // Orders count against a limit: where there is one every other round will do.
+            let spares = direct.state().is_limited(&one.server);
+            if spares && !round.is_multiple_of(2) {
+                continue;
+            }
             // One that fails is tried again with the next round, before it has run out.
-            direct.set_aside(one).await;
+            let renewed = direct.set_aside(one).await;
+            if spares && !renewed {
+                direct.set_aside(one).await;
+            }
         }
     }
 }
@@ -154,6 +162,7 @@
                 .body(Full::new(Bytes::from(body)))
                 .ok()?;
             let sent = self.sent(&held.server, tally::Kind::Order);
+            self.charge(&held.server);
             let response = conn.send(request).await.ok()?;
             let status = response.status();
             self.take_limit(&held.server, sent, response.headers());
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -70,6 +70,7 @@
     HeartbeatRefused = 215, Warning, "heartbeat refused: it names no backend server to use";
     ServerLimit = 216, Info, "backend server changed the limit on what it takes from all entries";
     ServerSent = 217, Info, "sent lately from here to a backend server that names a limit";
+    RequestLimited = 218, Info, "request told to come back: its backend servers take no more now";
     PeerSeen = 220, Info, "another process became known";
     PeerLost = 221, Warning, "another process has gone silent";
     DocumentInForce = 230, Info, "published configuration in force";
