Entries together keep half of the connections that a server accepts, not eight each

What callers saw: nothing traced yet; with 23 entries 184 idle connections may stand at a server of the plain service that accepts 71 from all callers, and what it accepts beyond is reset.

Change: each keeps its part of half the bound, eight at most.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -312,6 +312,14 @@
         known
     }
 
+    /// Idle connections kept to each server of a service.
+    pub(crate) fn most_idle(&self, service: &str) -> usize {
+        let catalog = self.catalog();
+        let service = catalog.as_ref().and_then(|one| one.service(service));
+        let accepted = service.map_or(0, |one| one.connections);
+        pool::most_idle(accepted, self.entries())
+    }
+
     /// Closes idle connections and forgets what has long gone. To be called each second.
     pub fn sweep(&self) {
         self.pool.prune();
--- a/src/edge/direct/pool.rs
+++ b/src/edge/direct/pool.rs
@@ -31,6 +31,20 @@
 /// Connections kept a server.
 const MOST_IDLE: usize = 8;
 
+/// Part of the connections that a server accepts which all entries together keep idle: the rest is
+/// for requests.
+const IDLE_PART: f64 = 0.5;
+
+/// Idle connections that each of `entries` keeps to a server that accepts so many from all callers
+/// together; 0: not known.
+pub fn most_idle(accepted: u32, entries: usize) -> usize {
+    if accepted == 0 {
+        return MOST_IDLE;
+    }
+    let own = f64::from(accepted) * IDLE_PART / entries.max(1) as f64;
+    (own as usize).min(MOST_IDLE)
+}
+
 /// A connection. Dropping it closes it, which ends what the server does for it.
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
@@ -138,13 +152,13 @@
     }
 
     /// Keeps a connection that has carried a whole answer. `allowed`: time that its server
-    /// leaves it idle.
-    pub fn keep(&self, life: &register::Life, conn: Conn, allowed: Option<Duration>) {
+    /// leaves it idle. `most`: see [`most_idle`].
+    pub fn keep(&self, life: &register::Life, conn: Conn, allowed: Option<Duration>, most: usize) {
         let keep = allowed.map_or(KEEP, |allowed| allowed.mul_f64(KEEP_PART).min(KEEP));
         let until = Instant::now() + keep;
         let mut idle = self.idle.lock().expect("pool lock");
         let conns = idle.entry(life.clone()).or_default();
-        if conns.len() < MOST_IDLE {
+        if conns.len() < most {
             conns.push(Idle { conn, until });
         }
     }
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -163,7 +163,9 @@
         if let Some(conn) = self.conn.take()
             && !self.closes
         {
-            self.direct.pool.keep(&self.server.life, conn, self.keep);
+            let most = self.direct.most_idle(&self.server.service);
+            let life = &self.server.life;
+            self.direct.pool.keep(life, conn, self.keep, most);
         }
     }
 }
--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -81,6 +81,7 @@
     pub addr: SocketAddr,
     state: Arc<Mutex<State>>,
     working: Arc<AtomicUsize>,
+    open: Arc<AtomicUsize>,
     task: task::JoinHandle<()>,
 }
 
@@ -96,11 +97,17 @@
         let listener = TcpListener::bind(addr).await?;
         let state = Arc::new(Mutex::new(State::default()));
         let working = Arc::new(AtomicUsize::new(0));
+        let open = Arc::new(AtomicUsize::new(0));
         let shared = (id.to_owned(), Arc::clone(&state), Arc::clone(&working));
+        let opened = Arc::clone(&open);
         let task = tokio::spawn(async move {
             while let Ok((tcp, _)) = listener.accept().await {
                 let (id, state, working) = shared.clone();
-                tokio::spawn(connection(tcp, id, state, working));
+                let counted = Work::begin(&opened);
+                tokio::spawn(async move {
+                    connection(tcp, id, state, working).await;
+                    drop(counted);
+                });
             }
         });
         Ok(Self {
@@ -108,6 +115,7 @@
             addr,
             state,
             working,
+            open,
             task,
         })
     }
@@ -137,6 +145,11 @@
         self.working.load(Ordering::Acquire)
     }
 
+    /// Connections that are open now.
+    pub fn open(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
     /// Tokens set aside now.
     pub fn set_aside(&self) -> u64 {
         let state = self.state.lock().expect("state lock");
@@ -144,7 +157,7 @@
     }
 }
 
-/// Counts a request while it is worked at; its caller's leaving ends that.
+/// Counts a request while it is worked at, which its caller's leaving ends, or an open connection.
 struct Work(Arc<AtomicUsize>);
 
 impl Work {
