--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -199,6 +199,11 @@
         self.by_server.get(&server).and_then(|one| one.limit)
     }
 
+    /// Whether a server with a limit would be granted a request at once.
+    pub fn is_free(&self, now: Duration, server: u64) -> bool {
+        self.wait(now, server).is_some_and(|wait| wait.is_zero())
+    }
+
     /// Whether a limit has not been told of for so long that it may have ended.
     pub fn is_stale(&self, now: Duration, server: u64) -> bool {
         let known = self.by_server.get(&server);
--- a/src/edge/direct/permit.rs
+++ b/src/edge/direct/permit.rs
@@ -120,9 +120,14 @@
         if occasion == Occasion::Spare {
             // Others may ask as well once nobody knows whether the limit goes on.
             records.retain(|one| {
-                is_grantor || state.quotas.is_stale(now, board::server_key(&one.life))
+                let server = board::server_key(&one.life);
+                let is_free = is_grantor && state.quotas.is_free(now, server);
+                is_free || state.quotas.is_stale(now, server)
             });
         }
+        if records.is_empty() {
+            return Vec::new();
+        }
         let servers = self.servers(&mut state, now, &records);
         drop(state);
         let all = records.into_iter().zip(servers);
--- a/tests/server_quota.rs
+++ b/tests/server_quota.rs
@@ -167,10 +167,12 @@
     quotas.heard(at(0), 2, at(0), limit(4.0));
     let now = at(2_000);
     let grant = |quotas: &mut Quotas| quotas.grant(now, POOL, &[1, 2], at(200), Account::First);
+    assert!(quotas.is_free(now, 1) && !quotas.is_free(now, 3));
     let first = grant(&mut quotas).expect("a grant");
     let second = grant(&mut quotas).expect("a grant");
     assert_eq!(HashSet::from([first.server, second.server]).len(), 2);
     assert_eq!((first.wait, second.wait), (at(0), at(0)));
+    assert!(!quotas.is_free(now, 1), "it has just been granted");
     assert_matches!(
         quotas.grant(now, POOL, &[3], at(200), Account::First),
         Err(_)
