--- a/src/direct/quota.rs
+++ b/src/direct/quota.rs
@@ -41,6 +41,15 @@
     Unreadable,
 }
 
+/// What an answer answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// A caller's request that ran.
+    Run,
+    /// A request that did not run, a question or an order.
+    Other,
+}
+
 data! {
     /// What processes tell each other of a server's limit.
     #[derive(Copy)]
@@ -123,20 +132,23 @@
     /// Takes what an answer says to something sent at `sent`: the word to tell others, if it changes
     /// what is known.
     ///
-    /// Answers overtake each other. So one without a limit lifts it only if it answers what was sent
-    /// after the limit was last named.
+    /// Answers overtake each other, and not each need bear the limit. So one without it lifts it only
+    /// if it answers a request that ran, and that was sent after the limit was last named.
     pub fn heard(
         &mut self,
         now: Duration,
         server: u64,
         sent: Duration,
         named: Named,
+        source: Source,
     ) -> Option<Word> {
         let known = self.by_server.get(&server);
         let before = known.and_then(|one| one.limit);
         let limit = match named {
             Named::Limit(rate) => Some(rate),
-            Named::Nothing if known.is_some_and(|one| sent > one.at) => None,
+            Named::Nothing if source == Source::Run && known.is_some_and(|one| sent > one.at) => {
+                None
+            }
             Named::Nothing | Named::Unreadable => return None,
         };
         if limit.is_none() && before.is_none() {
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -27,6 +27,7 @@
         life: &register::Life,
         sent: Duration,
         headers: &http::HeaderMap,
+        source: quota::Source,
     ) {
         let now = self.node.now();
         let named = self.dialect.limit(headers);
@@ -35,7 +36,7 @@
             return;
         }
         let server = board::server_key(life);
-        let Some(word) = state.quotas.heard(now, server, sent, named) else {
+        let Some(word) = state.quotas.heard(now, server, sent, named, source) else {
             return;
         };
         let lately = state.tally.lately(now, life);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -17,6 +17,7 @@
 use super::stream;
 use crate::direct::catalog;
 use crate::direct::patience;
+use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
 use crate::direct::verdict;
@@ -132,9 +133,15 @@
             }
         };
         let (head, body) = response.into_parts();
+        let answer = self.dialect.answer(&head);
         // Another life than the one expected tells nothing of this one.
-        if !self.dialect.answer(&head).displaced {
-            self.take_limit(&server.life, sent_at, &head.headers);
+        if !answer.displaced {
+            let source = if answer.sealed {
+                quota::Source::Run
+            } else {
+                quota::Source::Other
+            };
+            self.take_limit(&server.life, sent_at, &head.headers, source);
         }
         self.take_answer(course, chosen, (conn, memory), head, body, wait)
             .await
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -12,6 +12,7 @@
 use super::Direct;
 use super::dialect;
 use super::pool;
+use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
 use crate::wire::id;
@@ -93,7 +94,7 @@
         if !server.life.may_be(report.born) {
             return None;
         }
-        self.take_limit(&server.life, sent, &headers);
+        self.take_limit(&server.life, sent, &headers, quota::Source::Other);
         if report.pace > 0.0 {
             self.state().healths.paced(&server.life, report.pace);
         }
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -16,6 +16,7 @@
 
 use super::Direct;
 use super::pool;
+use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
 use crate::edge::event::Event;
@@ -165,7 +166,8 @@
             self.charge(&held.server);
             let response = conn.send(request).await.ok()?;
             let status = response.status();
-            self.take_limit(&held.server, sent, response.headers());
+            let headers = response.headers();
+            self.take_limit(&held.server, sent, headers, quota::Source::Other);
             // The connection is closed with its answer read, so that nothing resets it.
             let _ = response.into_body().collect().await;
             Some(status)
--- a/tests/server_quota.rs
+++ b/tests/server_quota.rs
@@ -13,6 +13,7 @@
 use wigeonbarrow::direct::quota::Named;
 use wigeonbarrow::direct::quota::Quotas;
 use wigeonbarrow::direct::quota::Rate;
+use wigeonbarrow::direct::quota::Source;
 use wigeonbarrow::direct::quota::Word;
 
 const SERVER: u64 = 7;
@@ -48,15 +49,21 @@
 #[test]
 fn named_and_lifted() {
     let mut quotas = Quotas::default();
-    assert_eq!(quotas.heard(at(1), SERVER, at(0), Named::Nothing), None);
+    assert_eq!(
+        quotas.heard(at(1), SERVER, at(0), Named::Nothing, Source::Run),
+        None
+    );
     assert!(quotas.is_empty());
-    let first = quotas.heard(at(10), SERVER, at(0), limit(1.2));
+    let first = quotas.heard(at(10), SERVER, at(0), limit(1.2), Source::Run);
     assert_eq!(first, Some(word(1, Some(1.2))));
-    assert_eq!(quotas.heard(at(20), SERVER, at(0), limit(1.2)), None);
-    let unread = quotas.heard(at(40), SERVER, at(30), Named::Unreadable);
+    assert_eq!(
+        quotas.heard(at(20), SERVER, at(0), limit(1.2), Source::Run),
+        None
+    );
+    let unread = quotas.heard(at(40), SERVER, at(30), Named::Unreadable, Source::Run);
     assert_eq!(unread, None);
     assert_eq!(quotas.limit(SERVER), Rate::new(1.2));
-    let lifted = quotas.heard(at(40), SERVER, at(30), Named::Nothing);
+    let lifted = quotas.heard(at(40), SERVER, at(30), Named::Nothing, Source::Run);
     assert_eq!(lifted, Some(word(2, None)));
     assert!(quotas.is_empty());
 }
@@ -65,17 +72,32 @@
 #[test]
 fn overtaken_answer() {
     let mut quotas = Quotas::default();
-    quotas.heard(at(100), SERVER, at(90), limit(2.0));
-    let late = quotas.heard(at(101), SERVER, at(80), Named::Nothing);
+    quotas.heard(at(100), SERVER, at(90), limit(2.0), Source::Run);
+    let late = quotas.heard(at(101), SERVER, at(80), Named::Nothing, Source::Run);
     assert_eq!(late, None);
     assert_eq!(quotas.limit(SERVER), Rate::new(2.0));
     // The same for an entry that was told of it.
     let mut other = Quotas::default();
     assert!(other.told(at(100), &word(1, Some(2.0))));
-    assert_eq!(other.heard(at(101), SERVER, at(100), Named::Nothing), None);
+    assert_eq!(
+        other.heard(at(101), SERVER, at(100), Named::Nothing, Source::Run),
+        None
+    );
     assert_eq!(other.limit(SERVER), Rate::new(2.0));
 }
 
+/// Reports, refusals and answers to orders may say nothing of a limit that is in force.
+#[test]
+fn lifted_by_runs_alone() {
+    let mut quotas = Quotas::default();
+    quotas.heard(at(0), SERVER, at(0), limit(2.0), Source::Other);
+    let report = quotas.heard(at(30), SERVER, at(20), Named::Nothing, Source::Other);
+    assert_eq!(report, None);
+    assert_eq!(quotas.limit(SERVER), Rate::new(2.0));
+    let run = quotas.heard(at(50), SERVER, at(40), Named::Nothing, Source::Run);
+    assert_eq!(run, Some(word(2, None)));
+}
+
 /// Whatever order words come in, all entries end with the same.
 #[test]
 fn words_in_any_order() {
@@ -102,7 +124,7 @@
 #[test]
 fn told_again_is_fresh() {
     let mut quotas = Quotas::default();
-    quotas.heard(at(0), SERVER, at(0), limit(1.0));
+    quotas.heard(at(0), SERVER, at(0), limit(1.0), Source::Run);
     assert!(!quotas.is_stale(at(5_000), SERVER));
     assert!(quotas.is_stale(at(7_000), SERVER), "it may have ended");
     assert!(!quotas.told(at(7_000), &word(1, Some(1.0))));
@@ -118,7 +140,7 @@
     for (seed, per_second) in [(1, 0.3), (2, 1.2), (3, 2.0), (4, 10.0), (5, 60.0)] {
         let mut rng = StdRng::seed_from_u64(seed);
         let mut quotas = Quotas::default();
-        quotas.heard(at(0), SERVER, at(0), limit(per_second));
+        quotas.heard(at(0), SERVER, at(0), limit(per_second), Source::Run);
         let mut times = Vec::new();
         let mut now = Duration::ZERO;
         while now < at(60_000) {
@@ -146,7 +168,7 @@
         let mut times = Vec::new();
         for account in [Account::First, Account::Deputy] {
             let mut quotas = Quotas::default();
-            quotas.heard(at(0), SERVER, at(0), limit(per_second));
+            quotas.heard(at(0), SERVER, at(0), limit(per_second), Source::Run);
             let mut now = Duration::ZERO;
             while now < at(60_000) {
                 now += Duration::from_secs_f64(rng.random_range(0.0..1.0) / per_second);
@@ -163,8 +185,8 @@
 #[test]
 fn soonest_server() {
     let mut quotas = Quotas::default();
-    quotas.heard(at(0), 1, at(0), limit(1.0));
-    quotas.heard(at(0), 2, at(0), limit(4.0));
+    quotas.heard(at(0), 1, at(0), limit(1.0), Source::Run);
+    quotas.heard(at(0), 2, at(0), limit(4.0), Source::Run);
     let now = at(2_000);
     let grant = |quotas: &mut Quotas| quotas.grant(now, POOL, &[1, 2], at(200), Account::First);
     assert!(quotas.is_free(now, 1) && !quotas.is_free(now, 3));
@@ -183,7 +205,7 @@
 #[test]
 fn come_backs_spread() {
     let mut quotas = Quotas::default();
-    quotas.heard(at(0), SERVER, at(0), limit(2.0));
+    quotas.heard(at(0), SERVER, at(0), limit(2.0), Source::Run);
     let now = at(5_000);
     let mut ask = || quotas.grant(now, POOL, &[SERVER], at(0), Account::First);
     assert_matches!(ask(), Ok(_));
@@ -199,7 +221,7 @@
 #[test]
 fn limit_of_nothing() {
     let mut quotas = Quotas::default();
-    quotas.heard(at(0), SERVER, at(0), limit(0.0));
+    quotas.heard(at(0), SERVER, at(0), limit(0.0), Source::Run);
     let asked = (0..600).map(|tenth| at(tenth * 100));
     let granted = asked.filter(|now| {
         let slot = quotas.grant(*now, POOL, &[SERVER], at(0), Account::First);
@@ -212,7 +234,7 @@
 #[test]
 fn charges_count() {
     let mut quotas = Quotas::default();
-    quotas.heard(at(0), SERVER, at(0), limit(1.0));
+    quotas.heard(at(0), SERVER, at(0), limit(1.0), Source::Run);
     let now = at(10_000);
     (0..3).for_each(|_| quotas.charge(now, SERVER));
     let slot = quotas.grant(now, POOL, &[SERVER], at(0), Account::First);
