Standing of servers and the electorate have modules of their own; the limit tests check windows at one place

Change: moved as they were: standing.rs (who may be sent a request), electorate.rs (what control is told); keeps_limits in the test. No change of behaviour.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -36,6 +36,7 @@
 pub mod course;
 pub mod dialect;
 pub mod door;
+mod electorate;
 pub mod heartbeat;
 pub mod host;
 pub mod lines;
@@ -47,6 +48,7 @@
 pub mod relay;
 pub mod reserve;
 mod span;
+mod standing;
 pub mod stream;
 mod turn;
 
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -10,6 +10,7 @@
 use super::Direct;
 use super::course::Course;
 use super::permit::Occasion;
+use super::standing;
 use super::turn;
 use crate::direct::board;
 use crate::direct::patience;
@@ -21,9 +22,6 @@
 use crate::edge::event::Event;
 use crate::log_event;
 
-/// Silence of heartbeats after which a server is only used if no other is there.
-const UNHEARD: Duration = Duration::from_secs(6);
-
 /// Pauses before a short request looks again for a server that is not full.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 const FULL_PAUSE_LATE: Duration = Duration::from_millis(150);
@@ -93,7 +91,7 @@
     fn choose(self: &Arc<Self>, course: &Course, reading: Reading) -> Choice {
         let now = self.node.now();
         let mut state = self.state();
-        let records = candidates(&state, now, course);
+        let records = standing::candidates(&state, now, course);
         if records.is_empty() {
             return Choice::Nowhere;
         }
@@ -190,7 +188,7 @@
     pub(super) fn has_better(&self, course: &Course, server: &register::Life) -> bool {
         let now = self.node.now();
         let mut state = self.state();
-        let mut records = candidates(&state, now, course);
+        let mut records = standing::candidates(&state, now, course);
         records.retain(|one| one.life != *server);
         if records.is_empty() {
             return false;
@@ -323,63 +321,6 @@
     }
 }
 
-/// Servers that a request may go to, but for those that name a limit: those in good standing;
-/// failing that, any, if no server with a limit is in good standing.
-fn candidates(state: &super::State, now: Duration, course: &Course) -> Vec<register::Record> {
-    let ready: Vec<(&register::Record, Duration)> =
-        state.register.ready(now, &course.service).collect();
-    let good = ready
-        .iter()
-        .filter(|(one, age)| is_good(state, now, course, one, *age));
-    let (limited, open): (Vec<&register::Record>, Vec<&register::Record>) = good
-        .map(|(one, _)| *one)
-        .partition(|one| state.is_limited(&one.life));
-    if !open.is_empty() || !limited.is_empty() {
-        return open.into_iter().cloned().collect();
-    }
-    let open = ready.iter().map(|(one, _)| *one);
-    let open: Vec<&register::Record> = open.filter(|one| !state.is_limited(&one.life)).collect();
-    let untried = |one: &&&register::Record| !course.tried.contains(&one.life);
-    let rest: Vec<register::Record> = open.iter().filter(untried).copied().cloned().collect();
-    if !rest.is_empty() {
-        return rest;
-    }
-    open.into_iter().cloned().collect()
-}
-
-/// Servers that name a limit: those in good standing; failing that, any if there is no `other`.
-pub(super) fn limited(
-    state: &super::State,
-    now: Duration,
-    course: &Course,
-    other: bool,
-) -> Vec<register::Record> {
-    let ready = state.register.ready(now, &course.service);
-    let all: Vec<(&register::Record, Duration)> = ready
-        .filter(|(one, _)| state.is_limited(&one.life))
-        .collect();
-    let good = all
-        .iter()
-        .filter(|(one, age)| is_good(state, now, course, one, *age));
-    let good: Vec<register::Record> = good.map(|(one, _)| (*one).clone()).collect();
-    if !good.is_empty() || other {
-        return good;
-    }
-    all.into_iter().map(|(one, _)| one.clone()).collect()
-}
-
-/// Whether a server is heard of, answers, and has not failed this request before.
-fn is_good(
-    state: &super::State,
-    now: Duration,
-    course: &Course,
-    server: &register::Record,
-    age: Duration,
-) -> bool {
-    let untried = !course.tried.contains(&server.life);
-    age < UNHEARD && untried && !state.healths.is_out(now, &server.life)
-}
-
 /// Finds the place of a long prompt among `servers` that have room for it beside their writers.
 fn beside(course: &Course, servers: &[place::Server], any_waits: bool) -> Option<place::Place> {
     let engine = course.engine.as_ref()?;
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -20,7 +20,6 @@
 use crate::edge::event::Event;
 use crate::edge::node;
 use crate::log_event;
-use crate::wire::member;
 use crate::wire::rpc;
 
 /// Time between two greetings. A process that is new is known everywhere after two of them.
@@ -52,10 +51,6 @@
     Duration::from_millis(1_000),
 ];
 
-/// Time that processes have to find each other before the first cluster is founded. They start
-/// within some hundred milliseconds of each other.
-const GATHER: Duration = Duration::from_millis(700);
-
 /// Time for another process to send a document.
 const PULL_TIMEOUT: Duration = Duration::from_millis(1_200);
 
@@ -280,7 +275,7 @@
         }
         self.loads_due = true;
         self.loads_whole = true;
-        self.tell_control(now);
+        self.direct.tell_control(now);
     }
 
     /// Greets the seeds that were not heard yet.
@@ -303,55 +298,6 @@
         roster.present().map(|one| one.link).collect()
     }
 
-    /// Tells the control role, and whoever asks it, who may vote and who leads.
-    fn tell_control(&self, now: Duration) {
-        let node = &self.direct.node;
-        let voters = self.direct.roster().voters();
-        if let Some(control) = node.control() {
-            let known = voters.iter().map(|one| one.link).collect();
-            control.know(known, self.founders(now, &voters));
-        }
-        let peers = voters.into_iter().map(|one| member::Peer {
-            role: member::Role::Control,
-            name: one.link.to_string(),
-            zone: one.zone,
-            link: one.link,
-            incarnation: one.life,
-            revision: 0,
-        });
-        node.set_view(rpc::View {
-            peers: peers.collect(),
-            suspects: Vec::new(),
-        });
-    }
-
-    /// Who founds the cluster, once that is clear: the seeds that may vote, all of which must be
-    /// there; without any such, all that may vote.
-    fn founders(&self, now: Duration, voters: &[gossip::Peer]) -> Option<Vec<SocketAddr>> {
-        let settings = &self.direct.settings;
-        if !settings.first_start || now < GATHER {
-            return None;
-        }
-        let me = self.direct.node.settings().link;
-        let seeds = self.direct.node.seeds();
-        let roster = self.direct.roster();
-        let is_there = |addr: &SocketAddr| *addr == me || roster.knows(addr);
-        if !seeds.iter().all(is_there) {
-            return None;
-        }
-        let first = voters.iter().filter(|one| one.first_start);
-        let mut all: Vec<SocketAddr> = first.map(|one| one.link).collect();
-        if settings.votes {
-            all.push(me);
-        }
-        let seeded: Vec<SocketAddr> = all
-            .iter()
-            .copied()
-            .filter(|addr| seeds.contains(addr))
-            .collect();
-        Some(if seeded.is_empty() { all } else { seeded })
-    }
-
     fn me(&self) -> gossip::Peer {
         let node = &self.direct.node;
         let settings = node.settings();
--- a/src/edge/direct/permit.rs
+++ b/src/edge/direct/permit.rs
@@ -11,9 +11,9 @@
 
 use super::Direct;
 use super::State;
-use super::choose;
 use super::choose::Chosen;
 use super::course::Course;
+use super::standing;
 use crate::direct::board;
 use crate::direct::gossip;
 use crate::direct::place;
@@ -116,7 +116,7 @@
         let is_grantor = self.grantors(&course.service).first() == Some(&self.me());
         let mut state = self.state();
         let other = occasion != Occasion::Only;
-        let mut records = choose::limited(&state, now, course, other);
+        let mut records = standing::limited(&state, now, course, other);
         if occasion == Occasion::Spare {
             // Others may ask as well once nobody knows whether the limit goes on.
             records.retain(|one| {
