explain shows the limits that a request's servers had named

Cause: a request that was refused for limits showed that its servers take no more, not which limits; one had to look for 216 lines by hand. Change: after a request's course, the last limit of each server that it was sent to, or of all if it was refused for limits, as told by its end. Measured: explain_request limits_in_force; failed before (2 lines for 4).

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,5 +1,6 @@
 //! `wigeonbarrow explain`
 
+use std::collections::BTreeMap;
 use std::fs;
 use std::path::PathBuf;
 
@@ -17,6 +18,12 @@
 /// Events after which a caller got no whole answer: refused, left, cut.
 const FAILED: [u64; 3] = [204, 205, 206];
 
+/// A backend server's limit changed.
+const LIMIT: u64 = 216;
+
+/// A request found no backend server that takes more: all of its service name limits.
+const LIMITED: u64 = 218;
+
 /// Keys that each line bears and that tell nothing of the request.
 const PLAIN: [&str; 6] = ["msg", "level", "ts", "node", "event", "request"];
 
@@ -51,13 +58,43 @@
     if course.is_empty() {
         return Err(util::Error::Refused(format!("no line tells of {id}")));
     }
-    course.sort_by_key(|one| one["ts"].as_str().unwrap_or_default().to_owned());
+    course.sort_by_key(|one| ts(one));
+    let limits = limits(&lines, &course);
     for line in course {
         println!("{}", tell(line));
     }
+    for line in limits {
+        println!("{}", tell(line));
+    }
     Ok(())
 }
 
+/// The limits, as last told, that servers of a request named up to its end: those that it was sent
+/// to, or all if it was refused for limits.
+fn limits<'a>(lines: &'a [Value], course: &[&Value]) -> Vec<&'a Value> {
+    let end = course.last().map_or("", |one| ts(one));
+    let is_limited = course.iter().any(|one| one["event"] == LIMITED);
+    let is_sent = |server: &Value| course.iter().any(|one| one["server"] == *server);
+    let mut last: BTreeMap<&str, &Value> = BTreeMap::new();
+    for line in lines.iter().filter(|one| one["event"] == LIMIT) {
+        let server = &line["server"];
+        if ts(line) > end || !(is_limited || is_sent(server)) {
+            continue;
+        }
+        let known = last.entry(server.as_str().unwrap_or_default());
+        let known = known.or_insert(line);
+        if ts(line) >= ts(known) {
+            *known = line;
+        }
+    }
+    let named = last.into_values().filter(|one| one["limit"] != "none");
+    named.collect()
+}
+
+fn ts(line: &Value) -> &str {
+    line["ts"].as_str().unwrap_or_default()
+}
+
 /// The object in a line, after whatever a collector put before it. Other lines are skipped.
 fn parse(line: &str) -> Option<Value> {
     serde_json::from_str(&line[line.find('{')?..]).ok()
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -10,7 +10,17 @@
         r#"   2.5 a {"msg":"attempt ended","ts":"2026-01-01T00:00:02Z","node":"a","event":201,"request":"r1","end":"Broken"}"#,
         "\n",
         r#"{"msg":"request placed","ts":"2026-01-01T00:00:02Z","node":"a","event":200,"request":"r2"}"#,
-        "\nnot json {\n"
+        "\nnot json {\n",
+        r#"{"msg":"limit","ts":"2026-01-01T00:00:04Z","node":"a","event":216,"server":"i-1","limit":"9"}"#,
+        "\n",
+        r#"{"msg":"limit","ts":"2026-01-01T00:00:05Z","node":"a","event":216,"server":"i-2","limit":"1.2"}"#,
+        "\n",
+        r#"{"msg":"limit","ts":"2026-01-01T00:00:06Z","node":"b","event":216,"server":"i-3","limit":"none"}"#,
+        "\n",
+        r#"{"msg":"come back","ts":"2026-01-01T00:00:07Z","node":"a","event":218,"request":"r3"}"#,
+        "\n",
+        r#"{"msg":"request refused or failed","ts":"2026-01-01T00:00:07Z","node":"a","event":204,"request":"r3","status":503}"#,
+        "\n"
     ),
     concat!(
         r#"{"msg":"request refused or failed","ts":"2026-01-01T00:00:03Z","node":"b","event":204,"request":"r1","status":502}"#,
@@ -55,6 +65,17 @@
     assert!(!text.contains("r2"));
 }
 
+/// What servers had named by the end of a request that was refused for that.
+#[test]
+fn limits_in_force() {
+    let text = String::from_utf8_lossy(&explain("r3").stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 4, "{text}");
+    assert!(lines[1].starts_with("->"), "{text}");
+    assert!(lines[2].contains("\"i-1\"") && lines[2].contains("limit=\"9\""));
+    assert!(lines[3].contains("\"i-2\"") && lines[3].contains("limit=\"1.2\""));
+}
+
 #[test]
 fn unknown_request() {
     assert_eq!(explain("r9").status.code(), Some(1));
