--- a/examples/limit_ways.rs
+++ b/examples/limit_ways.rs
@@ -106,11 +106,11 @@
         quotas.heard(none, server, none, named, quota::Source::Run);
     }
     let mut sent: Sent = vec![Vec::new(); case.servers];
-    let (mut now, mut came) = (Duration::ZERO, 0);
+    let (mut now, mut callers) = (Duration::ZERO, 0);
     while now < SPAN {
         let gap = -(1.0 - rng.random::<f64>()).ln() / rate;
         now += Duration::from_secs_f64(gap);
-        came += 1;
+        callers += 1;
         // Callers are spread unevenly: entries of lower numbers have more of them.
         let entry = (rng.random::<f64>().powi(2) * case.entries as f64) as usize;
         let slot = match way {
@@ -122,7 +122,7 @@
         }
     }
     let served: usize = sent.iter().map(Vec::len).sum();
-    let most_served = (takes * SPAN.as_secs_f64()).min(f64::from(came));
+    let most_served = (takes * SPAN.as_secs_f64()).min(f64::from(callers));
     let allowed = 1.5 * case.per_second * WINDOW.as_secs_f64() + 5.0;
     let most = sent.iter().map(|times| most_in_window(times)).max();
     (
