--- a/tests/retry_verdicts.rs
+++ b/tests/retry_verdicts.rs
@@ -165,3 +165,15 @@
         assert!(!verdict::suspects(&again, &end), "{end:?}");
     }
 }
+
+/// Servers that take no more: the caller comes back when they do, and nobody tries at once again.
+#[test]
+fn limited_come_back() {
+    let end = End::Limited(Duration::from_millis(830));
+    let refusal = verdict::refusal(&end, past(0), LEFT);
+    assert_eq!(refusal, Refusal::Busy(Duration::from_millis(830)));
+    assert_eq!(verdict::refusal(&end, past(1), LEFT), Refusal::Failed);
+    for kind in [Kind::Safe, Kind::Unsafe, Kind::Stream] {
+        assert!(!verdict::again(&route(kind, true), &end, past(0), LEFT));
+    }
+}
