A process says that it votes only once that is committed

Cause: the standing was taken from the newest members in the log, synced and committed or not. Ruled out: a lost acknowledgement (the one that is left holds it).

Why it works: what a quorum has committed outlives the loss of any one disk; a process that knows the commit of its own vote is counted by whoever leads next.

--- a/src/control/consensus.rs
+++ b/src/control/consensus.rs
@@ -83,9 +83,9 @@
 pub enum Standing {
     /// It belongs to no cluster yet.
     Unborn,
-    /// It follows, and does not vote yet.
+    /// It follows, and is not known here to be a voter for good.
     Learner,
-    /// It follows.
+    /// It follows, and that it votes is committed: from then on the disk of another may be lost.
     Follower,
     /// It stands for election.
     Candidate,
@@ -299,11 +299,20 @@
             _ if self.hard.cluster == 0 => Standing::Unborn,
             Role::Leader(_) => Standing::Leader,
             Role::Asking { .. } | Role::Candidate { .. } => Standing::Candidate,
-            Role::Follower if self.membership().votes(&self.me()) => Standing::Follower,
+            Role::Follower if self.counts_as_voter() => Standing::Follower,
             Role::Follower => Standing::Learner,
         }
     }
 
+    /// Whether it votes by its newest members and by the newest that it knows to be committed.
+    /// Members that are not committed may be gone with their leader.
+    fn counts_as_voter(&self) -> bool {
+        let me = self.me();
+        let mut newest_first = self.members.iter().rev();
+        let committed = newest_first.find(|(at, _)| *at <= self.commit);
+        self.membership().votes(&me) && committed.is_some_and(|(_, members)| members.votes(&me))
+    }
+
     /// The members in force: the newest in the log.
     pub fn membership(&self) -> &member::Membership {
         static NONE: member::Membership = member::Membership {
