--- a/tests/common/disk.rs
+++ b/tests/common/disk.rs
@@ -1,5 +1,7 @@
 //! A disk in memory: what was written counts only once it is synced.
 
+use std::time::Duration;
+
 use wigeonbarrow::control::log;
 use wigeonbarrow::control::member::Member;
 use wigeonbarrow::control::record;
@@ -18,6 +20,8 @@
     scan: record::Scan,
     pending: Vec<log::Write>,
     pub full: bool,
+    /// Added to the time of each sync.
+    pub slow: Duration,
     rotten: bool,
 }
 
--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -524,8 +524,9 @@
             vm.disk.write(write);
             vm.writing = true;
             let epoch = vm.epoch;
+            let slow = vm.disk.slow;
             let delay = Duration::from_micros(self.rng.random_range(300..2_000));
-            self.after(delay, What::Synced(at, epoch));
+            self.after(delay + slow, What::Synced(at, epoch));
             // Written, and not yet synced.
             if !self.step(at) {
                 return;
