Which entry asks a server is reckoned by whole numbers, keys of servers are kept

Cause, the largest part: each entry ranked all entries for all servers each second by hashing a text for each pair, and looked the server of a pace up by hashing all.

Why it works: keys are hashed once a life and once a process; a rank of a pair is a dozen operations on 64 bits, and a key finds its server by a map. Who asks which server changes with it: while entries of both builds run, a server may be asked by two or by none. server_duties: one entry each, even shares, few move.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -19,6 +19,7 @@
 pub mod pressure;
 pub mod quota;
 pub mod register;
+pub mod rendezvous;
 pub mod roster;
 pub mod sse;
 pub mod tally;
--- a/src/direct/register.rs
+++ b/src/direct/register.rs
@@ -11,6 +11,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::board;
+
 key! {
     /// What a backend server says of itself. Later ones win: it never goes back.
     pub enum Phase {
@@ -137,6 +139,8 @@
 #[derive(Clone, Debug)]
 struct Known {
     record: Record,
+    /// See [`board::server_key`]: kept, since hashing it anew for each use grows with the fleet.
+    key: u64,
     /// When this life became known.
     since: Duration,
     /// When a new heartbeat was last heard of, here or elsewhere.
@@ -152,6 +156,7 @@
 impl Known {
     fn new(now: Duration, record: Record) -> Self {
         Self {
+            key: board::server_key(&record.life),
             record,
             since: now,
             seen: now,
@@ -162,6 +167,17 @@
     }
 }
 
+/// A backend server that takes requests.
+#[derive(Clone, Copy, Debug)]
+pub struct Ready<'a> {
+    /// Its record.
+    pub record: &'a Record,
+    /// See [`board::server_key`].
+    pub key: u64,
+    /// Time since its last sign of life.
+    pub age: Duration,
+}
+
 /// All backend servers known.
 #[derive(Debug, Default)]
 pub struct Register {
@@ -169,6 +185,8 @@
     by_id: HashMap<String, Known>,
     /// Who holds an address. Invariant: names an id in `by_id`.
     holders: HashMap<SocketAddr, String>,
+    /// Ids by the keys of their latest lives. Invariant: one for each in `by_id`.
+    by_key: HashMap<u64, String>,
 }
 
 impl Register {
@@ -223,12 +241,16 @@
     fn add(&mut self, now: Duration, record: Record) -> Taken {
         let (id, addr) = (record.life.id.clone(), record.addr);
         let is_there = record.phase != Phase::Gone;
-        let former = self.by_id.insert(id.clone(), Known::new(now, record));
+        let known = Known::new(now, record);
+        let key = known.key;
+        let former = self.by_id.insert(id.clone(), known);
         if let Some(former) = former {
+            self.by_key.remove(&former.key);
             let left = former.record.addr;
             self.holders
                 .retain(|at, holder| *at != left || *holder != id);
         }
+        self.by_key.insert(key, id.clone());
         if is_there {
             self.hold(addr, id);
         }
@@ -295,6 +317,17 @@
         self.by_id.get(id).map(|known| &known.record)
     }
 
+    /// The life that a key names, see [`board::server_key`].
+    pub fn named(&self, key: u64) -> Option<&Life> {
+        let id = self.by_key.get(&key)?;
+        Some(&self.latest(id)?.life)
+    }
+
+    /// Whether a key names a life known here.
+    pub fn names(&self, key: u64) -> bool {
+        self.by_key.contains_key(&key)
+    }
+
     /// Who holds an address.
     pub fn at(&self, addr: SocketAddr) -> Option<&Record> {
         self.latest(self.holders.get(&addr)?)
@@ -307,10 +340,24 @@
         now: Duration,
         service: &'a str,
     ) -> impl Iterator<Item = (&'a Record, Duration)> {
+        let ready = self.ready_keyed(now, service);
+        ready.map(|one| (one.record, one.age))
+    }
+
+    /// The same, with their keys.
+    pub fn ready_keyed<'a>(
+        &'a self,
+        now: Duration,
+        service: &'a str,
+    ) -> impl Iterator<Item = Ready<'a>> {
         let known = self.by_id.values().filter(move |known| {
             known.record.service == service && known.record.phase == Phase::Ready && !known.ousted
         });
-        known.map(move |known| (&known.record, now.saturating_sub(known.seen)))
+        known.map(move |known| Ready {
+            record: &known.record,
+            key: known.key,
+            age: now.saturating_sub(known.seen),
+        })
     }
 
     /// Whether a life takes requests, as far as known.
@@ -337,6 +384,7 @@
         self.by_id.retain(|_, known| now < known.seen + FORGET);
         let by_id = &self.by_id;
         self.holders.retain(|_, id| by_id.contains_key(id));
+        self.by_key.retain(|_, id| by_id.contains_key(id));
     }
 }
 
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -1,6 +1,5 @@
 //! What is sent to backend servers, and the limits that these name.
 
-use std::collections::HashSet;
 use std::time::Duration;
 
 use super::Direct;
@@ -63,10 +62,7 @@
     }
 
     fn life_of(&self, server: u64) -> Option<register::Life> {
-        let state = self.state();
-        let mut known = state.register.all();
-        let found = known.find(|one| board::server_key(&one.life) == server);
-        found.map(|one| one.life.clone())
+        self.state().register.named(server).cloned()
     }
 
     /// Logs what was sent lately to servers that name a limit. To be called each second.
@@ -100,11 +96,10 @@
     pub(super) fn prune_limits(&self) {
         let now = self.node.now();
         let mut state = self.state();
-        let known: HashSet<u64> = {
-            let all = state.register.all();
-            all.map(|one| board::server_key(&one.life)).collect()
-        };
-        state.quotas.retain(now, |server| known.contains(&server));
+        let super::State {
+            quotas, register, ..
+        } = &mut *state;
+        quotas.retain(now, |server| register.names(server));
     }
 }
 
--- a/src/edge/direct/checkup.rs
+++ b/src/edge/direct/checkup.rs
@@ -13,6 +13,7 @@
 use crate::direct::board;
 use crate::direct::gossip;
 use crate::direct::register;
+use crate::direct::rendezvous;
 
 /// Time between two reports of a server. A server that turns slow, four times or more, harms the
 /// requests of this time.
@@ -38,29 +39,22 @@
     let Some(catalog) = direct.catalog() else {
         return Vec::new();
     };
-    let me = direct.node.settings().link;
+    let me = process_key(direct.node.settings().link);
     let peers = direct.peers();
-    let mut entries: Vec<SocketAddr> = peers
-        .iter()
-        .filter(|(_, peer)| peer.serves)
-        .map(|(addr, _)| *addr)
-        .collect();
-    entries.push(me);
+    let others = peers.iter().filter(|(_, peer)| peer.serves);
+    let others: Vec<u64> = others.map(|(addr, _)| process_key(*addr)).collect();
     let now = direct.node.now();
     let state = direct.state();
     let engines = catalog.services().iter().filter(|one| one.engine.is_some());
-    let servers = engines.flat_map(|one| state.register.ready(now, &one.name));
+    let servers = engines.flat_map(|one| state.register.ready_keyed(now, &one.name));
     // A server that names a limit is not asked: questions count against it.
-    let open = servers.filter(|(one, _)| !state.is_limited(&one.life));
-    let own = open.filter(|(one, _)| {
-        let ranks = entries.iter().map(|addr| (rank(&one.life, *addr), *addr));
-        ranks.max().is_some_and(|(_, addr)| addr == me)
-    });
-    own.map(|(one, _)| one.clone()).collect()
+    let open = servers.filter(|one| !state.is_limited(&one.record.life));
+    let own = open.filter(|one| rendezvous::falls_to(one.key, me, &others));
+    own.map(|one| one.record.clone()).collect()
 }
 
-fn rank(server: &register::Life, entry: SocketAddr) -> u64 {
-    board::key(&format!("{server} {entry}"))
+fn process_key(addr: SocketAddr) -> u64 {
+    board::key(&addr.to_string())
 }
 
 async fn check(direct: Arc<Direct>, server: register::Record) {
@@ -92,11 +86,9 @@
     pub(super) fn take_paces(&self, paces: &[(u64, u16)]) {
         let told: Vec<(register::Life, u16)> = {
             let state = self.state();
-            let known = state.register.all();
-            let known = known.map(|one| (board::server_key(&one.life), &one.life));
-            let told = |key: u64| paces.iter().find(|(one, _)| *one == key);
-            known
-                .filter_map(|(key, life)| told(key).map(|(_, pace)| (life.clone(), *pace)))
+            let life = |key: u64| state.register.named(key).cloned();
+            let told = paces.iter();
+            told.filter_map(|(key, pace)| Some((life(*key)?, *pace)))
                 .collect()
         };
         for (life, pace) in told {
--- /dev/null
+++ b/tests/server_duties.rs
@@ -0,0 +1,61 @@
+//! Which entry asks a backend server how it is.
+
+use wigeonbarrow::direct::board;
+use wigeonbarrow::direct::rendezvous;
+
+const SERVERS: usize = 3_000;
+const ENTRIES: usize = 77;
+
+fn keys(name: &str, count: usize) -> Vec<u64> {
+    (0..count)
+        .map(|at| board::key(&format!("{name}-{at}")))
+        .collect()
+}
+
+fn others(entries: &[u64], me: u64) -> Vec<u64> {
+    entries.iter().copied().filter(|one| *one != me).collect()
+}
+
+/// Entries to which a server falls, by what each of them reckons.
+fn owners(server: u64, entries: &[u64]) -> Vec<u64> {
+    let all = entries.iter().copied();
+    all.filter(|me| rendezvous::falls_to(server, *me, &others(entries, *me)))
+        .collect()
+}
+
+#[test]
+fn one_each() {
+    let entries = keys("entry", ENTRIES);
+    for server in keys("server", 300) {
+        assert_eq!(owners(server, &entries).len(), 1);
+    }
+    let alone = &entries[..1];
+    assert_eq!(owners(1, alone), alone);
+}
+
+/// The mean is 39 servers an entry; twice that would make one entry's questions a burden.
+#[test]
+fn even_shares() {
+    let entries = keys("entry", ENTRIES);
+    let servers = keys("server", SERVERS);
+    for me in &entries {
+        let others = others(&entries, *me);
+        let own = servers
+            .iter()
+            .filter(|one| rendezvous::falls_to(**one, *me, &others));
+        let own = own.count();
+        assert!((10..=78).contains(&own), "{own} servers fall to one entry");
+    }
+}
+
+#[test]
+fn few_move() {
+    let entries = keys("entry", 20);
+    let fewer = &entries[1..];
+    for server in keys("server", 300) {
+        let before = owners(server, &entries);
+        if before != entries[..1] {
+            assert_eq!(owners(server, fewer), before);
+        }
+    }
+}
