On a large fleet a request is placed in a part of it

Cause: each choice copies, hashes and sorts all servers that a request may go to, though 17 read a prompt at most and four are weighed for a short one.

Fleets of up to 256 servers are placed as before.

Why it works: parts are as good as fleets of their size, drawn evenly, and one without a server in good standing leaves the request to the whole fleet.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -22,5 +22,6 @@
 pub mod rendezvous;
 pub mod roster;
 pub mod sse;
+pub mod subset;
 pub mod tally;
 pub mod verdict;
--- a/src/direct/board.rs
+++ b/src/direct/board.rs
@@ -6,6 +6,7 @@
 
 use super::backlog::Backlog;
 use super::register;
+use super::subset;
 use crate::wire::id;
 
 /// How long the word of another entry counts. Entries speak up each half second.
@@ -361,14 +362,21 @@
 
     /// All that runs, by server.
     pub fn view(&mut self, now: Duration) -> HashMap<u64, Load> {
-        let own = self.own_loads(now);
-        let mut out: HashMap<u64, Load> = own.into_iter().map(|one| (one.server, one)).collect();
+        self.view_of(now, subset::Subset::WHOLE)
+    }
+
+    /// All that runs on one part of the fleet, by server.
+    pub fn view_of(&mut self, now: Duration, part: subset::Subset) -> HashMap<u64, Load> {
+        let own = self.own_loads(now).into_iter();
+        let own = own.filter(|one| part.holds(one.server));
+        let mut out: HashMap<u64, Load> = own.map(|one| (one.server, one)).collect();
         for told in self.told.values() {
             let age = now.saturating_sub(told.at);
             if age > HOLDS {
                 continue;
             }
-            for load in told.loads.values() {
+            let loads = told.loads.values();
+            for load in loads.filter(|one| part.holds(one.server)) {
                 let sum = out.entry(load.server).or_insert(Load {
                     server: load.server,
                     ..Load::default()
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -18,6 +18,7 @@
 use crate::direct::place::lone;
 use crate::direct::quota;
 use crate::direct::register;
+use crate::direct::subset;
 use crate::direct::verdict;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -91,11 +92,11 @@
     fn choose(self: &Arc<Self>, course: &Course, reading: Reading) -> Choice {
         let now = self.node.now();
         let mut state = self.state();
-        let records = standing::candidates(&state, now, course);
+        let standing::Candidates { records, part } = standing::candidates(&state, now, course);
         if records.is_empty() {
             return Choice::Nowhere;
         }
-        let servers = self.servers(&mut state, now, &records);
+        let servers = self.servers(&mut state, now, &records, part);
         let any_waits = state.board.any_waits(now);
         let placed = match reading {
             Reading::Lane => locate(course, &servers, any_waits),
@@ -188,12 +189,12 @@
     pub(super) fn has_better(&self, course: &Course, server: &register::Life) -> bool {
         let now = self.node.now();
         let mut state = self.state();
-        let mut records = standing::candidates(&state, now, course);
+        let standing::Candidates { mut records, part } = standing::candidates(&state, now, course);
         records.retain(|one| one.life != *server);
         if records.is_empty() {
             return false;
         }
-        let servers = self.servers(&mut state, now, &records);
+        let servers = self.servers(&mut state, now, &records, part);
         let any_waits = state.board.any_waits(now);
         drop(state);
         let place = locate(course, &servers, any_waits);
@@ -205,15 +206,16 @@
         is_better
     }
 
-    /// What is known of servers, for placing.
+    /// What is known of servers of one part of the fleet, for placing.
     pub(super) fn servers(
         &self,
         state: &mut super::State,
         now: Duration,
         records: &[register::Record],
+        part: subset::Subset,
     ) -> Vec<place::Server> {
         let zone = &self.node.settings().zone;
-        let view = state.board.view(now);
+        let view = state.board.view_of(now, part);
         let server = |one: &register::Record| {
             let key = board::server_key(&one.life);
             place::Server {
--- a/src/edge/direct/permit.rs
+++ b/src/edge/direct/permit.rs
@@ -20,6 +20,7 @@
 use crate::direct::place::lone;
 use crate::direct::quota;
 use crate::direct::register;
+use crate::direct::subset;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -128,7 +129,7 @@
         if records.is_empty() {
             return Vec::new();
         }
-        let servers = self.servers(&mut state, now, &records);
+        let servers = self.servers(&mut state, now, &records, subset::Subset::WHOLE);
         drop(state);
         let all = records.into_iter().zip(servers);
         let all = all.filter_map(|(record, server)| {
--- a/src/edge/direct/standing.rs
+++ b/src/edge/direct/standing.rs
@@ -4,29 +4,78 @@
 
 use super::course::Course;
 use crate::direct::register;
+use crate::direct::subset;
 
 /// Silence of heartbeats after which a server is only used if no other is there.
 const UNHEARD: Duration = Duration::from_secs(6);
 
-/// Servers that a request may go to, but for those that name a limit: those in good standing;
-/// failing that, any, if no server with a limit is in good standing.
-pub(super) fn candidates(
+/// Servers that a request may go to, and the part of the fleet that they belong to.
+pub(super) struct Candidates {
+    pub(super) records: Vec<register::Record>,
+    pub(super) part: subset::Subset,
+}
+
+/// Servers that a request may go to, but for those that name a limit: those of its part of the
+/// fleet in good standing; failing that, of the whole fleet; failing that, any, if no server with
+/// a limit is in good standing.
+pub(super) fn candidates(state: &super::State, now: Duration, course: &Course) -> Candidates {
+    let ready: Vec<register::Ready<'_>> =
+        state.register.ready_keyed(now, &course.service).collect();
+    let part = subset::Subset::draw(ready.len(), course.need().draw);
+    if part != subset::Subset::WHOLE {
+        let of_part: Vec<register::Ready<'_>> = ready
+            .iter()
+            .filter(|one| part.holds(one.key))
+            .copied()
+            .collect();
+        let good = in_good_standing(state, now, course, &of_part);
+        if !good.open.is_empty() {
+            let records = good.open;
+            return Candidates { records, part };
+        }
+    }
+    Candidates {
+        records: of_whole(state, now, course, &ready),
+        part: subset::Subset::WHOLE,
+    }
+}
+
+struct Good {
+    /// Those that name no limit.
+    open: Vec<register::Record>,
+    /// Whether there are others.
+    has_limited: bool,
+}
+
+fn in_good_standing(
     state: &super::State,
     now: Duration,
     course: &Course,
-) -> Vec<register::Record> {
-    let ready: Vec<(&register::Record, Duration)> =
-        state.register.ready(now, &course.service).collect();
+    ready: &[register::Ready<'_>],
+) -> Good {
     let good = ready
         .iter()
-        .filter(|(one, age)| is_good(state, now, course, one, *age));
+        .filter(|one| is_good(state, now, course, one.record, one.age));
     let (limited, open): (Vec<&register::Record>, Vec<&register::Record>) = good
-        .map(|(one, _)| *one)
+        .map(|one| one.record)
         .partition(|one| state.is_limited(&one.life));
-    if !open.is_empty() || !limited.is_empty() {
-        return open.into_iter().cloned().collect();
+    Good {
+        open: open.into_iter().cloned().collect(),
+        has_limited: !limited.is_empty(),
+    }
+}
+
+fn of_whole(
+    state: &super::State,
+    now: Duration,
+    course: &Course,
+    ready: &[register::Ready<'_>],
+) -> Vec<register::Record> {
+    let good = in_good_standing(state, now, course, ready);
+    if !good.open.is_empty() || good.has_limited {
+        return good.open;
     }
-    let open = ready.iter().map(|(one, _)| *one);
+    let open = ready.iter().map(|one| one.record);
     let open: Vec<&register::Record> = open.filter(|one| !state.is_limited(&one.life)).collect();
     let untried = |one: &&&register::Record| !course.tried.contains(&one.life);
     let rest: Vec<register::Record> = open.iter().filter(untried).copied().cloned().collect();
