--- a/tests/open_schedules.rs
+++ b/tests/open_schedules.rs
@@ -39,6 +39,9 @@
 /// Three election timeouts of silence, after which a VM that never comes back is replaced.
 const REPLACED: Duration = ms(2_400);
 
+/// Longest that a slow sync takes, in milliseconds: over two election timeouts.
+const SLOWEST: u64 = 2_000;
+
 /// Most VMs, those that are gone among them.
 const MOST: usize = 8;
 
@@ -55,11 +58,24 @@
     Disk,
     Newcomer,
     Replace,
+    /// The disk takes nothing.
+    Full,
+    /// Each sync takes this much longer.
+    Slow(Duration),
+}
+
+/// What a case draws.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Mix {
+    Losses,
+    /// Losses, and as often disks that are full or slow.
+    Disks,
 }
 
 struct Case {
     sim: Sim,
     rng: StdRng,
+    mix: Mix,
     /// Highest version sent.
     version: u64,
     keys: u64,
@@ -69,12 +85,13 @@
 }
 
 impl Case {
-    fn new(seed: u64) -> Self {
+    fn new(seed: u64, mix: Mix) -> Self {
         let mut rng = StdRng::seed_from_u64(seed);
         let members = if rng.random_range(0..4) == 0 { 5 } else { 3 };
         let mut case = Self {
             sim: Sim::open(members, 3, seed),
             rng,
+            mix,
             version: 0,
             keys: 0,
             empty: None,
@@ -104,6 +121,13 @@
     }
 
     fn draw(&mut self) -> Loss {
+        if self.mix == Mix::Disks && self.rng.random_bool(0.5) {
+            return if self.rng.random_bool(0.4) {
+                Loss::Full
+            } else {
+                Loss::Slow(ms(self.rng.random_range(100..SLOWEST)))
+            };
+        }
         const TAILS: [Tail; 3] = [Tail::Lost, Tail::Torn, Tail::Kept];
         let tail = TAILS[self.rng.random_range(0..3)];
         match self.rng.random_range(0..12) {
@@ -165,6 +189,8 @@
                 self.empty = Some(at);
                 self.sim.restart_after(at, ms(100));
             }
+            Loss::Full => self.sim.vms[at].disk.full = true,
+            Loss::Slow(slow) => self.sim.vms[at].disk.slow = slow,
             Loss::Newcomer => self.newcomer(),
             Loss::Replace => {
                 self.sim.lose_for_good(at);
@@ -247,8 +273,15 @@
 
     fn heal(&mut self) {
         self.told.push("healed".to_owned());
+        let slowest = self.sim.vms.iter().map(|vm| vm.disk.slow).max();
+        self.sim
+            .vms
+            .iter_mut()
+            .for_each(|vm| vm.disk.slow = Duration::ZERO);
         self.sim.heal_after(Duration::ZERO);
-        self.sim.run_until(ms(2), |_| false);
+        // A slow sync that is under way still is.
+        self.sim
+            .run_until(ms(2) + slowest.unwrap_or_default(), |_| false);
     }
 
     /// A new entry is decided, all vote, and nothing that was acknowledged is missing.
@@ -307,10 +340,10 @@
 }
 
 /// What happened, if it failed.
-fn play(seed: u64) -> Result<(), String> {
+fn play(seed: u64, mix: Mix) -> Result<(), String> {
     let mut told = Vec::new();
     let ended = panic::catch_unwind(panic::AssertUnwindSafe(|| {
-        let mut case = Case::new(seed);
+        let mut case = Case::new(seed, mix);
         let ended = panic::catch_unwind(panic::AssertUnwindSafe(|| case.run()));
         told.append(&mut case.told);
         if let Err(why) = ended {
@@ -325,7 +358,7 @@
 }
 
 /// Plays `seeds`: those that failed, and why.
-fn play_all(seeds: std::ops::Range<u64>) -> Vec<(u64, String)> {
+fn play_all(seeds: std::ops::Range<u64>, mix: Mix) -> Vec<(u64, String)> {
     let next = AtomicU64::new(seeds.start);
     let work = || {
         let mut failed = Vec::new();
@@ -334,7 +367,7 @@
             if seed >= seeds.end {
                 return failed;
             }
-            if let Err(why) = play(seed) {
+            if let Err(why) = play(seed, mix) {
                 failed.push((seed, why));
             }
         }
@@ -346,17 +379,16 @@
     })
 }
 
-#[test]
-fn drawn_losses() {
+fn check(mix: Mix, count: u64) {
     let from_env = |name: &str, or: u64| {
         let given = std::env::var(name).ok();
         given.map_or(or, |text| text.parse().expect("a number"))
     };
     let first = from_env("OPEN_SCHEDULES_SEED", FIRST_SEED);
-    let count = from_env("OPEN_SCHEDULES_CASES", CASES);
-    println!("open schedules: {count} cases from seed {first}");
+    let count = from_env("OPEN_SCHEDULES_CASES", count);
+    println!("open schedules, {mix:?}: {count} cases from seed {first}");
     panic::set_hook(Box::new(|_| {}));
-    let mut failed = play_all(first..first + count);
+    let mut failed = play_all(first..first + count, mix);
     let _ = panic::take_hook();
     failed.sort_unstable();
     for (seed, why) in failed.iter().take(20) {
@@ -368,3 +400,13 @@
         failed.len()
     );
 }
+
+#[test]
+fn drawn_losses() {
+    check(Mix::Losses, CASES);
+}
+
+#[test]
+fn drawn_disks() {
+    check(Mix::Disks, CASES / 2);
+}
