--- a/tests/open_schedules.rs
+++ b/tests/open_schedules.rs
@@ -42,6 +42,8 @@
 /// Longest that a slow sync takes, in milliseconds: over two election timeouts.
 const SLOWEST: u64 = 2_000;
 
+const TAILS: [Tail; 3] = [Tail::Lost, Tail::Torn, Tail::Kept];
+
 /// Most VMs, those that are gone among them.
 const MOST: usize = 8;
 
@@ -122,13 +124,8 @@
 
     fn draw(&mut self) -> Loss {
         if self.mix == Mix::Disks && self.rng.random_bool(0.5) {
-            return if self.rng.random_bool(0.4) {
-                Loss::Full
-            } else {
-                Loss::Slow(ms(self.rng.random_range(100..SLOWEST)))
-            };
+            return self.draw_disk();
         }
-        const TAILS: [Tail; 3] = [Tail::Lost, Tail::Torn, Tail::Kept];
         let tail = TAILS[self.rng.random_range(0..3)];
         match self.rng.random_range(0..12) {
             0 | 1 => Loss::CutBoth,
@@ -143,6 +140,13 @@
         }
     }
 
+    fn draw_disk(&mut self) -> Loss {
+        if self.rng.random_bool(0.4) {
+            return Loss::Full;
+        }
+        Loss::Slow(ms(self.rng.random_range(100..SLOWEST)))
+    }
+
     /// The leader, or as often as not any.
     fn target(&mut self) -> usize {
         let any = self.rng.random_range(0..self.sim.vms.len());
