--- a/src/direct/register.rs
+++ b/src/direct/register.rs
@@ -318,13 +318,13 @@
     }
 
     /// The life that a key names, see [`board::server_key`].
-    pub fn named(&self, key: u64) -> Option<&Life> {
+    pub fn life(&self, key: u64) -> Option<&Life> {
         let id = self.by_key.get(&key)?;
         Some(&self.latest(id)?.life)
     }
 
     /// Whether a key names a life known here.
-    pub fn names(&self, key: u64) -> bool {
+    pub fn has(&self, key: u64) -> bool {
         self.by_key.contains_key(&key)
     }
 
--- a/src/direct/rendezvous.rs
+++ b/src/direct/rendezvous.rs
@@ -3,8 +3,8 @@
 //! All that know the same processes agree on it, and when one goes only its servers fall to others.
 
 /// Rank of a process for a server, both by their keys (see [`super::board::key`]): the server falls
-/// to the process that ranks highest. Whole numbers only: each process ranks all for all servers
-/// each second, and hashing text for each pair took most of a small process's time.
+/// to the process that ranks highest. On whole numbers, since each process ranks all processes for
+/// all servers each second.
 pub fn rank(server: u64, process: u64) -> u64 {
     // The finalizer of splitmix64: each bit of the input changes half of the output.
     let mut mixed = server ^ process.rotate_left(32);
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -62,7 +62,7 @@
     }
 
     fn life_of(&self, server: u64) -> Option<register::Life> {
-        self.state().register.named(server).cloned()
+        self.state().register.life(server).cloned()
     }
 
     /// Logs what was sent lately to servers that name a limit. To be called each second.
@@ -99,7 +99,7 @@
         let super::State {
             quotas, register, ..
         } = &mut *state;
-        quotas.retain(now, |server| register.names(server));
+        quotas.retain(now, |server| register.has(server));
     }
 }
 
--- a/src/edge/direct/checkup.rs
+++ b/src/edge/direct/checkup.rs
@@ -86,7 +86,7 @@
     pub(super) fn take_paces(&self, paces: &[(u64, u16)]) {
         let told: Vec<(register::Life, u16)> = {
             let state = self.state();
-            let life = |key: u64| state.register.named(key).cloned();
+            let life = |key: u64| state.register.life(key).cloned();
             let told = paces.iter();
             told.filter_map(|(key, pace)| Some((life(*key)?, *pace)))
                 .collect()
