--- a/tests/consensus_votes.rs
+++ b/tests/consensus_votes.rs
@@ -318,3 +318,22 @@
         assert_eq!(stands, !yields, "own log {terms:?}");
     }
 }
+
+/// Whoever helped another into the next term while its own vote was being synced made that vote
+/// void, and its sync was lost.
+#[test]
+fn unsynced_vote_helps_nobody() {
+    let helps = |raft: &mut Raft| {
+        let tail = Tail { term: 1, index: 1 };
+        let ask = Body::PreVote { term: 3, tail };
+        raft.receive(LATER, from(3, 1, ask));
+        let is_yes = |env: &Envelope| matches!(env.body, Body::PreVoted { granted: true, .. });
+        raft.take_messages().iter().any(is_yes)
+    };
+    let mut raft = raft(saved(1, &[]));
+    raft.receive(LATER, vote(2, 2, (1, 1)));
+    let write = raft.take_write().expect("its vote");
+    assert!(!helps(&mut raft), "its vote is being synced");
+    raft.synced(LATER, write.seq);
+    assert!(helps(&mut raft), "its vote is synced");
+}
