--- a/src/control/consensus/election.rs
+++ b/src/control/consensus/election.rs
@@ -45,26 +45,11 @@
     }
 
     /// The election timer ended: asks whether it would be elected.
-    ///
-    /// A vote may take longer to sync than the timer, and in the next term it would be void. So
-    /// whoever has one under way does not begin the next term: a candidate asks again until
-    /// somebody refuses, a voter waits for its sync.
     pub(super) fn stand(&mut self, now: Duration) {
-        if matches!(self.role, Role::Follower) && !self.hard_is_synced() {
-            return;
-        }
         self.draw_deadline(now);
         if self.stalled || !self.membership().votes(&self.me()) {
             return;
         }
-        if let Role::Candidate {
-            is_refused: false,
-            handover,
-            ..
-        } = self.role
-        {
-            return self.ask_votes(handover);
-        }
         self.leader = None;
         if self.is_sole_voter() {
             return self.campaign(now, false);
@@ -87,14 +72,8 @@
         self.role = Role::Candidate {
             granted: BTreeSet::new(),
             own_vote: self.write.seq,
-            is_refused: false,
-            handover,
         };
         self.draw_deadline(now);
-        self.ask_votes(handover);
-    }
-
-    fn ask_votes(&mut self, handover: bool) {
         let tail = self.log.tail();
         for to in self.other_voters() {
             self.send_durable(to, message::Body::Vote { tail, handover });
@@ -113,7 +92,7 @@
         term: u64,
         tail: message::Tail,
     ) {
-        let free = !self.is_bound(now) && !self.stalled && self.hard_is_synced();
+        let free = !self.is_bound(now) && !self.stalled;
         let granted = free && term > self.hard.term && tail >= self.log.tail();
         let is_asking = matches!(self.role, Role::Asking { .. });
         if granted && is_asking && (tail, from) > (self.log.tail(), self.me()) {
@@ -129,11 +108,9 @@
         let free = self.hard.vote.is_none_or(|vote| vote == from);
         let granted = free && !self.stalled && tail >= self.log.tail();
         if granted {
-            self.draw_deadline(now);
-        }
-        if granted && self.hard.vote != Some(from) {
             self.hard.vote = Some(from);
             self.write_hard();
+            self.draw_deadline(now);
         }
         self.send_durable(from, message::Body::Voted { granted });
     }
@@ -160,20 +137,12 @@
     }
 
     pub(super) fn count_vote(&mut self, now: Duration, from: member::Member, granted: bool) {
-        let Role::Candidate {
-            granted: all,
-            is_refused,
-            ..
-        } = &mut self.role
-        else {
-            return;
-        };
-        if !granted {
-            *is_refused = true;
-            return;
+        if let Role::Candidate { granted: all, .. } = &mut self.role
+            && granted
+        {
+            all.insert(from);
+            self.win_if_elected(now);
         }
-        all.insert(from);
-        self.win_if_elected(now);
     }
 
     fn is_quorum(&self, granted: &BTreeSet<member::Member>) -> bool {
--- a/src/control/consensus/replication.rs
+++ b/src/control/consensus/replication.rs
@@ -260,8 +260,7 @@
         index
     }
 
-    /// Whether its newest term and vote are synced.
-    pub(super) fn hard_is_synced(&self) -> bool {
+    fn hard_is_synced(&self) -> bool {
         self.write.hard.is_none() && !self.writes.iter().any(|(_, _, hard)| *hard)
     }
 
