--- a/src/edge/entry/drive.rs
+++ b/src/edge/entry/drive.rs
@@ -31,6 +31,7 @@
 use crate::wire::outcome;
 use crate::wire::run;
 
+mod ask;
 mod gang;
 
 /// How long after the time limit the driver answers itself if the state machine did not.
@@ -39,9 +40,6 @@
 /// How long a caller that does not read may keep the end of its answer waiting.
 const SLOW_CALLER: Duration = Duration::from_secs(30);
 
-/// How long the outcome of a claimed run is put to control.
-const SETTLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Bodies from this size on are hashed on a thread of their own.
 const LARGE_BODY: usize = 64 << 10;
 
@@ -398,170 +396,6 @@
         self.disband();
     }
 
-    fn claim(&mut self) {
-        let Some(key) = self.submission.key.clone() else {
-            self.event(request::Event::Verdict(agree::Verdict::Claimed));
-            return;
-        };
-        let command = agree::Command::Claim {
-            workspace: self.submission.workspace.clone(),
-            key,
-            request: self.submission.request,
-            fingerprint: self.fingerprint,
-            ttl_ms: self.node.conf().policy.claim_ttl_ms,
-        };
-        let left = self.deadline.saturating_sub(self.node.now());
-        let node = Arc::clone(&self.node);
-        self.verdict = Some(Box::pin(async move { node.propose(command, left).await }));
-    }
-
-    fn settle(&self, ran: outcome::Ran) {
-        let Some(key) = self.submission.key.clone() else {
-            return;
-        };
-        let status = match ran {
-            outcome::Ran::Ran => 200,
-            outcome::Ran::NotRun => outcome::Cause::Busy.status(),
-            outcome::Ran::MayHaveRun => outcome::Cause::ServerLost.status(),
-        };
-        let command = agree::Command::Settle {
-            workspace: self.submission.workspace.clone(),
-            key,
-            request: self.submission.request,
-            ran,
-            status,
-        };
-        let node = Arc::clone(&self.node);
-        tokio::spawn(async move { node.propose(command, SETTLE_TIMEOUT).await });
-    }
-
-    fn choose(&mut self, retry: bool, avoid: Vec<String>) {
-        let (model, max_tokens) = match &self.submission.work {
-            run::Work::Prompt {
-                model, max_tokens, ..
-            } => (Some(model.clone()), *max_tokens),
-            run::Work::Http { .. } | run::Work::Segment { .. } => (None, 0),
-        };
-        let job = job::Job {
-            request: self.submission.request,
-            workspace: self.submission.workspace.clone(),
-            service: self.submission.service.clone(),
-            model,
-            fingerprint: self.fingerprint,
-            body_len: self.submission.body.len() as u64,
-            max_tokens,
-            deadline: self.deadline,
-            blocks: self.blocks.clone(),
-            retry,
-            avoid,
-        };
-        self.choice = self.core.place(job);
-        if self.choice.is_none() && self.gang.is_some() {
-            self.gang_event(members::Event::Planned(members::plan::Plan::Wait));
-        } else if self.choice.is_none() {
-            let failure = outcome::Failure::not_run(
-                outcome::Cause::Busy,
-                Some(super::BUSY_RETRY_MS),
-                "the entry's queue is full",
-            );
-            self.event(request::Event::Unplaced(failure));
-        }
-    }
-
-    fn offer(
-        &mut self,
-        target: &request::Target,
-        attempt: id::Attempt,
-        start: bool,
-        given: Vec<String>,
-    ) {
-        let Some(place) = self.place.clone() else {
-            return;
-        };
-        let mut work = self.submission.work.clone();
-        let mut body = self.submission.body.clone();
-        if let run::Work::Prompt {
-            prompt_tokens,
-            delivered,
-            context,
-            ..
-        } = &mut work
-        {
-            *prompt_tokens = place.prompt_tokens;
-            *delivered = given;
-            if let Some((segments, tail)) = self.final_run() {
-                *context = segments;
-                body = body.slice(tail..);
-            }
-        }
-        if start {
-            self.sent();
-        }
-        let offer = run::Offer {
-            class: place.class,
-            repeatable: self.submission.repeatable,
-            start,
-            ..self.offer_of(target, attempt, place.priority, work, body.len())
-        };
-        self.current = Some((attempt, false));
-        self.open(target, attempt, run::Call::Offer(Box::new(offer)), body);
-    }
-
-    /// An offer to be started later, of work that may be repeated.
-    fn offer_of(
-        &self,
-        target: &request::Target,
-        attempt: id::Attempt,
-        priority: u8,
-        work: run::Work,
-        body_len: usize,
-    ) -> run::Offer {
-        let left = self.deadline.saturating_sub(self.node.now());
-        run::Offer {
-            attempt,
-            entry: self.node.incarnation(),
-            sidecar: target.sidecar,
-            service: self.submission.service.clone(),
-            workspace: self.submission.workspace.clone(),
-            fingerprint: self.fingerprint,
-            suspect: self.is_suspect(),
-            class: run::Class::Long,
-            priority,
-            remaining_ms: left.as_millis() as u64,
-            repeatable: true,
-            start: false,
-            body_len: body_len as u64,
-            work,
-        }
-    }
-
-    /// Whether control knows of a backend server that died under the request.
-    fn is_suspect(&self) -> bool {
-        let view = self.node.view();
-        let mut suspects = view.suspects.iter();
-        suspects.any(|suspect| suspect.fingerprint == self.fingerprint)
-    }
-
-    fn cancel(&mut self, target: &request::Target, attempt: id::Attempt) {
-        if let Some(stream) = self.stream(attempt) {
-            stream.call(run::Call::Cancel(attempt));
-            return;
-        }
-        let call = run::Call::Cancel(attempt);
-        self.open(target, attempt, call, Bytes::new());
-    }
-
-    fn open(
-        &mut self,
-        target: &request::Target,
-        attempt: id::Attempt,
-        first: run::Call,
-        body: Bytes,
-    ) {
-        let stream = stream::Stream::open(&self.node, target, attempt, first, body);
-        self.streams.push(stream);
-    }
-
     fn stream(&mut self, attempt: id::Attempt) -> Option<&mut stream::Stream> {
         self.streams
             .iter_mut()
