--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -16,7 +16,7 @@
 const USAGE: &str = "Prints the course of one request over all processes, from their logs.";
 
 /// Events after which a caller got no whole answer: refused, left, cut.
-const FAILED: [u64; 3] = [204, 205, 206];
+const FAILED: [u64; 4] = [204, 205, 206, 219];
 
 /// A backend server's limit changed.
 const LIMIT: u64 = 216;
@@ -54,7 +54,7 @@
         let bytes = fs::read(path).map_err(|err| util::Error::File(path.clone(), err))?;
         lines.extend(String::from_utf8_lossy(&bytes).lines().filter_map(parse));
     }
-    let mut course: Vec<&Value> = lines.iter().filter(|one| one["request"] == id).collect();
+    let mut course: Vec<&Value> = lines.iter().filter(|one| names(one, id)).collect();
     if course.is_empty() {
         return Err(util::Error::Refused(format!("no line tells of {id}")));
     }
@@ -69,6 +69,12 @@
     Ok(())
 }
 
+/// Whether a line tells of a request, by itself or among others.
+fn names(line: &Value, id: &str) -> bool {
+    let among = line["requests"].as_str().unwrap_or_default();
+    line["request"] == id || among.split(' ').any(|one| one == id)
+}
+
 /// The limits, as last told, that servers of a request named up to its end: those that it was sent
 /// to, or all if it was refused for limits.
 fn limits<'a>(lines: &'a [Value], course: &[&Value]) -> Vec<&'a Value> {
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -44,11 +44,13 @@
 mod permit;
 pub mod pool;
 mod probe;
+pub mod progress;
 pub mod publish;
 pub mod relay;
 pub mod reserve;
 mod span;
 mod standing;
+mod stop;
 pub mod stream;
 mod turn;
 
@@ -114,6 +116,8 @@
     roster: Mutex<roster::Roster>,
     lines: lines::Lines,
     counts: count::Counts,
+    /// Requests in progress.
+    progress: progress::Table,
     /// Something of interest to other entries changed in what runs here.
     loads_changed: Notify,
     /// Records to pass on at once.
@@ -156,6 +160,7 @@
             roster: Mutex::default(),
             lines: lines::Lines::default(),
             counts: count::Counts::new(node.metrics()),
+            progress: progress::Table::default(),
             loads_changed: Notify::new(),
             news: Mutex::default(),
             news_came: Notify::new(),
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -13,6 +13,7 @@
 use super::course::Course;
 use super::dialect;
 use super::pool;
+use super::progress;
 use super::reserve;
 use super::stream;
 use crate::direct::catalog;
@@ -106,12 +107,16 @@
         after: Option<&str>,
     ) -> Result<Got, Missed> {
         let server = chosen.server.clone();
+        let progress = course.progress.clone();
+        progress.reach_at(progress::Stage::Reserving, &server.life);
         let memory = self.reserve(course, &chosen).await?;
+        progress.reach(progress::Stage::Connecting);
         let kept = course.route.repeatable() || KEPT_FOR_UNSAFE;
         let conn = self.pool.conn(&server.life, server.addr, kept).await;
         let mut conn = conn.map_err(|_| verdict::End::Unsent)?;
         let request = self.request(course, &chosen, memory.as_ref(), after);
         let wait = doubt(course, chosen.first_ms);
+        progress.reach(progress::Stage::Sent);
         let sent_at = self.sent(&server.life, tally::Kind::Request);
         let sent = {
             let sending = conn.send(request);
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -10,6 +10,7 @@
 use super::Direct;
 use super::course::Course;
 use super::permit::Occasion;
+use super::progress;
 use super::standing;
 use super::turn;
 use crate::direct::board;
@@ -264,6 +265,7 @@
         self: &Arc<Self>,
         course: &Course,
     ) -> Result<Chosen, verdict::End> {
+        course.progress.reach(progress::Stage::Waiting);
         let is_long = course
             .engine
             .is_some_and(|one| place::is_long(&one, &course.need()));
--- a/src/edge/direct/course.rs
+++ b/src/edge/direct/course.rs
@@ -7,6 +7,7 @@
 use http::request;
 
 use super::dialect;
+use super::progress;
 use crate::direct::board;
 use crate::direct::catalog;
 use crate::direct::model;
@@ -46,6 +47,8 @@
     pub fingerprint: id::Fingerprint,
     /// Version of the configuration that it follows.
     pub version: u64,
+    /// How far it is.
+    pub progress: progress::Progress,
 }
 
 impl Course {
--- a/src/edge/direct/host.rs
+++ b/src/edge/direct/host.rs
@@ -29,6 +29,7 @@
 use super::dialect;
 use super::door;
 use super::mesh;
+use super::stop;
 use crate::edge::control;
 use crate::edge::event::Event;
 use crate::edge::link;
@@ -54,6 +55,9 @@
 
 const DRAIN_POLL: Duration = Duration::from_millis(25);
 
+/// Time between two lines on what a process that drains waits for.
+const REPORT: Duration = Duration::from_secs(1);
+
 /// All that a process is set up with.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -204,31 +208,36 @@
         }
     }
     look.leaving.store(true, Ordering::Release);
-    drain(&node, &stage, &open, grace, &mut signals).await;
-    log_event!(log, Event::Stopped, "connections" => open.count());
+    drain(&direct, &stage, &open, grace, &mut signals).await;
+    let cut = stop::log_cut(&direct);
+    log_event!(log, Event::Stopped, "connections" => open.count(), "cut" => cut);
     Ok(())
 }
 
 /// Ends the process's work without cutting any: the balancer is told first, then connections
 /// end with their answers.
 async fn drain(
-    node: &Arc<node::Node>,
+    direct: &Arc<Direct>,
     stage: &watch::Sender<door::Stage>,
     open: &door::Open,
     grace: Duration,
     signals: &mut mpsc::Receiver<i32>,
 ) {
     let began = Instant::now();
+    let node = direct.node();
     node.drain();
     if let Some(control) = node.control().cloned() {
         tokio::spawn(async move { control.hand_over(HAND_OVER).await });
     }
+    stop::log_progress(direct);
     time::sleep(NOTICE).await;
     let _ = stage.send(door::Stage::Closing);
     let limit = began + grace.saturating_sub(RESERVE);
+    let mut report = time::interval(REPORT);
     while Instant::now() < limit && open.count() > 0 {
         tokio::select! {
             () = time::sleep(DRAIN_POLL) => {}
+            _ = report.tick() => stop::log_progress(direct),
             signal = signals.recv() => match signal {
                 Some(consts::SIGHUP) => {}
                 _ => return,
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -21,6 +21,7 @@
 use super::course::Course;
 use super::dialect;
 use super::door;
+use super::progress;
 use super::span;
 use super::stream;
 use crate::direct::catalog;
@@ -84,9 +85,8 @@
     ) -> http::Response<door::Body> {
         let (head, body) = request.into_parts();
         let ask = self.dialect.ask(&head);
-        let began = Instant::now();
         let mut span = span::Span::new(self, &ask.id);
-        let course = match self.admit(ask, head, body, began).await {
+        let course = match self.admit(ask, head, body, span.progress()).await {
             Ok(course) => course,
             Err(denied) => {
                 span.end(denied.status, denied.why);
@@ -110,7 +110,7 @@
         ask: dialect::Ask,
         head: request::Parts,
         body: body::Incoming,
-        began: Instant,
+        progress: &progress::Progress,
     ) -> Result<Course, Denied> {
         let catalog = self.catalog();
         let limits = catalog.as_ref().map(|one| *one.limits());
@@ -135,6 +135,8 @@
             let status = StatusCode::SERVICE_UNAVAILABLE;
             return Err(Denied::new(status, "backend servers died under it"));
         }
+        let began = progress.mark().began;
+        progress.mark().end = Some(began + limit);
         let priority = workspace.and_then(|one| one.priority);
         Ok(Course {
             priority: priority.unwrap_or(route.priority),
@@ -151,6 +153,7 @@
             tried: Vec::new(),
             fingerprint,
             version: catalog.version(),
+            progress: progress.clone(),
         })
     }
 
@@ -237,6 +240,7 @@
                 return Err(missed);
             }
             if course.past.tried > 1 && missed.end.not_run() {
+                course.progress.reach(progress::Stage::Paused);
                 time::sleep(REFUSED_PAUSE * (1 << (course.past.tried - 2).min(4))).await;
             }
         }
@@ -276,6 +280,7 @@
         let direct = Arc::clone(self);
         let pieces = async_stream::stream! {
             let mut after = first.last.clone();
+            course.progress.reach(progress::Stage::Answering);
             span.passed(first.events);
             yield Ok(body::Frame::data(first.bytes));
             let limit = time::Instant::from_std(course.end);
@@ -304,6 +309,7 @@
                 };
                 let resumed = direct.resume(&mut course, &reader, &lost, after.as_deref());
                 if let Ok(Some((piece, next))) = time::timeout_at(limit, resumed).await {
+                        course.progress.reach(progress::Stage::Answering);
                         span.passed(piece.events);
                         if piece.last.is_some() {
                             after.clone_from(&piece.last);
--- a/src/edge/direct/span.rs
+++ b/src/edge/direct/span.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use super::Direct;
+use super::progress;
 use crate::direct::verdict;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -14,11 +15,12 @@
 /// Sees a request to its end, and logs and counts it; also when its caller leaves before.
 pub(super) struct Span {
     direct: Arc<Direct>,
+    number: u64,
+    progress: progress::Progress,
     id: String,
     service: String,
     began: Instant,
     first: Option<Duration>,
-    events: u32,
     /// When its last events were passed on.
     last: Instant,
     /// Longest pause between its events, at this entry.
@@ -30,19 +32,26 @@
     /// Begins with a request that has come.
     pub(super) fn new(direct: &Arc<Direct>, id: &str) -> Self {
         direct.counts.began();
+        let (number, progress) = direct.progress.insert(id);
         Self {
             direct: Arc::clone(direct),
+            number,
+            progress,
             id: id.to_owned(),
             service: String::new(),
             began: Instant::now(),
             first: None,
-            events: 0,
             last: Instant::now(),
             pause: Duration::ZERO,
             ended: false,
         }
     }
 
+    /// How far it is.
+    pub(super) fn progress(&self) -> &progress::Progress {
+        &self.progress
+    }
+
     /// The service that its route led to.
     pub(super) fn serves(&mut self, service: &str) {
         service.clone_into(&mut self.service);
@@ -57,11 +66,12 @@
 
     /// Events were passed on.
     pub(super) fn passed(&mut self, events: u32) {
-        if self.events > 0 {
+        let mut mark = self.progress.mark();
+        if mark.events > 0 {
             self.pause = self.pause.max(self.last.elapsed());
         }
         self.last = Instant::now();
-        self.events += events;
+        mark.events += events;
     }
 
     /// It was answered, or refused.
@@ -95,14 +105,15 @@
         let first = self.first.map_or(0, |one| one.as_millis() as u64);
         let whole = self.began.elapsed().as_millis() as u64;
         log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
-            "cause" => cause, "first_ms" => first, "whole_ms" => whole, "events" => self.events,
+            "cause" => cause, "first_ms" => first, "whole_ms" => whole, "events" => self.progress.mark().events,
             "pause_ms" => self.pause.as_millis() as u64);
     }
 }
 
 impl Drop for Span {
     fn drop(&mut self) {
-        if !self.ended {
+        self.direct.progress.remove(self.number);
+        if !self.ended && !self.progress.mark().is_cut {
             let took = self.began.elapsed();
             self.direct.counts.ended(&self.service, "caller left", took);
             self.log(Event::CallerLeft, 0, "caller left");
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -38,6 +38,7 @@
     Draining = 101, Info, "process drains: no new work, work in progress goes on";
     Stopped = 102, Info, "process stopped";
     RoleFailed = 103, Critical, "a role failed, the process ends";
+    DrainWaits = 104, Info, "process drains: requests in progress";
     ConfigInstalled = 110, Info, "configuration in force";
     ConfigRefused = 111, Error, "configuration not installed: it has findings";
     LinkLost = 120, Warning, "link to another process lost";
@@ -72,6 +73,7 @@
     ServerLimit = 216, Info, "backend server changed the limit on what it takes from all entries";
     ServerSent = 217, Info, "sent lately from here to a backend server that names a limit";
     RequestLimited = 218, Info, "request told to come back: its backend servers take no more now";
+    RequestCut = 219, Warning, "request cut by the end of this process";
     PeerSeen = 220, Info, "another process became known";
     PeerLost = 221, Warning, "another process has gone silent";
     DocumentInForce = 230, Info, "published configuration in force";
--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -58,6 +58,8 @@
     Breaks,
     /// It runs requests and never answers.
     Mute,
+    /// It stops in the middle of a stream, and leaves its connection open.
+    Stalls,
     /// It answers with bytes of another request's answer before the right one.
     Doubles,
 }
@@ -290,6 +292,9 @@
             tx.write_all(chunk.as_bytes()).await?;
             return Ok(false);
         }
+        if mood == Mood::Stalls && id == after + 6 {
+            std::future::pending::<()>().await;
+        }
         let chunk = format!("{:x}\r\n{event}\r\n", event.len());
         tx.write_all(chunk.as_bytes()).await?;
     }
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -24,6 +24,8 @@
     ),
     concat!(
         r#"{"msg":"request refused or failed","ts":"2026-01-01T00:00:03Z","node":"b","event":204,"request":"r1","status":502}"#,
+        "\n",
+        r#"{"msg":"cut","ts":"2026-01-01T00:00:08Z","node":"b","event":219,"requests":"r4 r5","stage":"waiting"}"#,
         "\n"
     ),
 ];
@@ -76,6 +78,17 @@
     assert!(lines[3].contains("\"i-2\"") && lines[3].contains("limit=\"1.2\""));
 }
 
+/// Many requests that a stop cut stand in one line.
+#[test]
+fn cut_among_others() {
+    let text = String::from_utf8_lossy(&explain("r5").stdout).into_owned();
+    assert!(
+        text.starts_with("->") && text.contains("stage=\"waiting\""),
+        "{text}"
+    );
+    assert_eq!(explain("r").status.code(), Some(1), "part of an id");
+}
+
 #[test]
 fn unknown_request() {
     assert_eq!(explain("r9").status.code(), Some(1));
