--- a/src/direct/patience.rs
+++ b/src/direct/patience.rs
@@ -70,6 +70,8 @@
     pub left: Duration,
     /// Time until its deadline.
     pub end: Duration,
+    /// Time until this process ends. `MAX`: no stop has been asked for.
+    pub life: Duration,
 }
 
 impl Wait {
@@ -83,9 +85,23 @@
             aim,
             left: end.min(patience.saturating_sub(waited)),
             end,
+            life: Duration::MAX,
         }
     }
 
+    /// The same at a process that ends after `life`, if it does.
+    #[must_use]
+    pub fn within(self, life: Option<Duration>) -> Self {
+        let life = life.unwrap_or(Duration::MAX);
+        Self { life, ..self }
+    }
+
+    /// Whether an answer whose first event comes after `first` and that is written for `writing`
+    /// would be whole before this process ends.
+    pub fn ends_in_life(&self, first: Duration, writing: Duration) -> bool {
+        self.life > first.saturating_add(writing)
+    }
+
     /// Whether a prompt that has no place yet may have one in time.
     pub fn may_go_on(&self, engine: &model::Engine, need: &place::Need) -> bool {
         let most = engine.memory_tokens * place::MOST_WIDTH as u64 / 2;
@@ -96,9 +112,7 @@
     /// Whether an answer would be whole in time if its first event came after `first`. What is cut
     /// at its deadline was read for nothing, while others waited.
     pub fn allows(&self, engine: &model::Engine, need: &place::Need, first: Duration) -> bool {
-        // However many write, a step reads no more context than a server holds.
-        let context = (need.prompt * u64::from(WRITERS)).min(engine.memory_tokens);
-        let writing = engine.write_time(need.answer, WRITERS, context);
+        let writing = writing(engine, need.prompt, need.answer);
         let whole = first.saturating_add(writing).saturating_add(TURN_LEFT);
         self.end > whole && self.left > first
     }
@@ -134,8 +148,15 @@
     }
 }
 
+/// Time to write `tokens` of the answer to a prompt beside some others, by the time model.
+pub fn writing(engine: &model::Engine, prompt: u64, tokens: u64) -> Duration {
+    // However many write, a step reads no more context than a server holds.
+    let context = (prompt * u64::from(WRITERS)).min(engine.memory_tokens);
+    engine.write_time(tokens, WRITERS, context)
+}
+
 /// Least time to read a prompt.
-fn fastest(engine: &model::Engine, need: &place::Need) -> Duration {
+pub fn fastest(engine: &model::Engine, need: &place::Need) -> Duration {
     millis(engine.read_ms(need.prompt, place::MOST_WIDTH))
 }
 
--- a/src/direct/verdict.rs
+++ b/src/direct/verdict.rs
@@ -31,6 +31,8 @@
     Failed,
     /// The time is over.
     Late,
+    /// This process ends before the answer would be whole.
+    Ending,
 }
 
 impl End {
@@ -38,7 +40,7 @@
     pub fn not_run(&self) -> bool {
         matches!(
             self,
-            Self::Away | Self::Limited(_) | Self::Unsent | Self::NotRun { .. }
+            Self::Away | Self::Limited(_) | Self::Unsent | Self::NotRun { .. } | Self::Ending
         )
     }
 }
@@ -63,7 +65,7 @@
     if left < LEAST_LEFT || past.tried >= MOST_TRIES {
         return false;
     }
-    if matches!(end, End::Away | End::Limited(_) | End::Late) {
+    if matches!(end, End::Away | End::Limited(_) | End::Late | End::Ending) {
         return false;
     }
     if end.not_run() {
@@ -100,6 +102,10 @@
     {
         return Refusal::Busy(*come_back);
     }
+    // Other entries go on, so nothing is gained by a pause.
+    if *end == End::Ending && past.ran == 0 {
+        return Refusal::Busy(Duration::ZERO);
+    }
     if past.ran == 0 && *end != End::Late {
         return Refusal::Busy((left / 6).clamp(COME_BACK.0, COME_BACK.1));
     }
--- a/src/edge.rs
+++ b/src/edge.rs
@@ -8,6 +8,7 @@
 pub mod event;
 pub mod header;
 pub mod http;
+pub mod lifetime;
 pub mod link;
 pub mod metric;
 pub mod node;
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -202,7 +202,20 @@
                 gained.await;
             }
         };
-        time::timeout(limit, waiting).await.ok()
+        self.unless_ending(limit, waiting).await
+    }
+
+    /// What `waiting` gives within `limit`, unless this process is told to stop meanwhile.
+    async fn unless_ending<T>(
+        &self,
+        limit: Duration,
+        waiting: impl Future<Output = T>,
+    ) -> Option<T> {
+        tokio::select! {
+            biased;
+            got = time::timeout(limit, waiting) => got.ok(),
+            () = self.node.lifetime().ending() => None,
+        }
     }
 
     /// Whether `catalog` is the newest, or was so at some time since the start. What a process
@@ -227,7 +240,7 @@
                 gained.await;
             }
         };
-        time::timeout(limit, waiting).await.ok()
+        self.unless_ending(limit, waiting).await
     }
 
     /// Waits until a backend server of `service` is known, `limit` at the most.
@@ -243,7 +256,7 @@
             }
         };
         // Whoever waits finds out by itself what is known then.
-        let _ = time::timeout(limit, waiting).await;
+        let _ = self.unless_ending(limit, waiting).await;
     }
 
     /// Whether callers' requests can be served: the configuration is known, and servers of at
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -326,7 +326,10 @@
                 self.state().healths.answered(now, &server.life, false);
             }
             verdict::End::NotRun { at_fault, .. } => self.blame(server, at_fault.as_deref()),
-            verdict::End::Away | verdict::End::Limited(_) | verdict::End::Late => {}
+            verdict::End::Away
+            | verdict::End::Limited(_)
+            | verdict::End::Late
+            | verdict::End::Ending => {}
         }
     }
 }
@@ -360,6 +363,7 @@
         verdict::End::Slow => "slow",
         verdict::End::Failed => "failed",
         verdict::End::Late => "late",
+        verdict::End::Ending => "ending",
     }
 }
 
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -286,6 +286,9 @@
                     Choice::Nowhere => return self.choose_only(course).await,
                     Choice::Later => turn.wait(course),
                     Choice::NotNow => turn.leave(),
+                    Choice::Full if !course.may_wait_here() => {
+                        return Err(verdict::End::Ending);
+                    }
                     Choice::Full => {
                         let limited = self.choose_limited(course, Occasion::Full);
                         if let Ok(Some(chosen)) = limited.await {
@@ -301,6 +304,9 @@
             if !course.may_wait() {
                 return Err(verdict::End::Unsent);
             }
+            if !course.may_wait_here() {
+                return Err(verdict::End::Ending);
+            }
             time::sleep(turn.pause()).await;
         }
     }
@@ -309,6 +315,7 @@
     async fn choose_only(self: &Arc<Self>, course: &Course) -> Result<Chosen, verdict::End> {
         match self.choose_limited(course, Occasion::Only).await {
             Ok(Some(chosen)) => Ok(chosen),
+            Ok(None) if course.lifetime.is_ending() => Err(verdict::End::Ending),
             Ok(None) => Err(verdict::End::Unsent),
             Err(come_back) => Err(verdict::End::Limited(come_back)),
         }
--- a/src/edge/direct/course.rs
+++ b/src/edge/direct/course.rs
@@ -15,6 +15,7 @@
 use crate::direct::place;
 use crate::direct::register;
 use crate::direct::verdict;
+use crate::edge::lifetime;
 use crate::wire::id;
 
 /// A caller's request on its way.
@@ -49,14 +50,50 @@
     pub version: u64,
     /// How far it is.
     pub progress: progress::Progress,
+    /// How long this process goes on.
+    pub lifetime: lifetime::Lifetime,
 }
 
 impl Course {
-    /// Time that is left.
+    /// Time that is left of its caller's time and of this process's.
     pub fn left(&self) -> Duration {
+        let own = self.own_left();
+        self.lifetime.left().map_or(own, |life| own.min(life))
+    }
+
+    /// Time that is left of its caller's time.
+    fn own_left(&self) -> Duration {
         self.end.saturating_duration_since(Instant::now())
     }
 
+    /// How it ends if it is given up since this process ends.
+    pub fn end_here(&mut self) -> verdict::End {
+        if self.progress.mark().stage == progress::Stage::Sent {
+            self.past.ran += 1;
+        }
+        verdict::End::Ending
+    }
+
+    /// Time for which the rest of its answer is expected to be written, at most.
+    pub fn writing(&self) -> Duration {
+        let (Some(engine), Some(size)) = (&self.engine, self.ask.size) else {
+            return Duration::ZERO;
+        };
+        let written = u64::from(self.progress.mark().events) * u64::from(engine.stride);
+        let rest = self.expected_answer().saturating_sub(written);
+        patience::writing(engine, size.prompt, rest)
+    }
+
+    /// Whether its answer would be whole before this process ends, if its first event comes after
+    /// `first_ms`. A call is expected to take no longer than its objective.
+    pub fn ends_in_life(&self, first_ms: f64, writing: Duration) -> bool {
+        let first = match self.engine.zip(self.ask.size) {
+            Some(_) => patience::millis(first_ms),
+            None => self.route.objective,
+        };
+        self.wait().ends_in_life(first, writing)
+    }
+
     /// Whether a request that has no place yet may have one in time.
     pub fn may_wait(&self) -> bool {
         let engine = self.engine.filter(|_| self.ask.size.is_some());
@@ -71,6 +108,18 @@
         engine.is_none_or(|engine| self.wait().allows(&engine, &need, first))
     }
 
+    /// Whether it may be answered before this process ends, though it has no place yet.
+    pub fn may_wait_here(&self) -> bool {
+        self.ends_in_life(self.fastest_ms(), self.writing())
+    }
+
+    /// Least milliseconds to its first event.
+    pub fn fastest_ms(&self) -> f64 {
+        let engine = self.engine.filter(|_| self.ask.size.is_some());
+        let fastest = engine.map(|engine| patience::fastest(&engine, &self.need()));
+        fastest.unwrap_or_default().as_secs_f64() * 1e3
+    }
+
     /// Whether it may wait at the entry while all servers are full.
     pub fn may_hold(&self) -> bool {
         let engine = self.engine.filter(|_| self.ask.size.is_some());
@@ -80,7 +129,8 @@
 
     /// How long it has waited for its first event, and may.
     pub fn wait(&self) -> patience::Wait {
-        patience::Wait::new(&self.route, self.began.elapsed(), self.left())
+        let wait = patience::Wait::new(&self.route, self.began.elapsed(), self.own_left());
+        wait.within(self.lifetime.left())
     }
 
     /// What placing has to know of a request.
--- a/src/edge/direct/host.rs
+++ b/src/edge/direct/host.rs
@@ -7,7 +7,6 @@
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use std::time::Instant;
 
 use anyhow::Context;
 use http::StatusCode;
@@ -43,21 +42,6 @@
 /// Time between two sweeps, and two looks at the settings file.
 const SWEEP: Duration = Duration::from_secs(1);
 
-/// Time between saying not ready and closing connections: a balancer that asks each second
-/// takes a process out after two misses.
-const NOTICE: Duration = Duration::from_millis(2_400);
-
-/// Time before the end of the grace period by which the process is gone.
-const RESERVE: Duration = Duration::from_millis(600);
-
-/// Time for another control process to take the leadership over.
-const HAND_OVER: Duration = Duration::from_secs(1);
-
-const DRAIN_POLL: Duration = Duration::from_millis(25);
-
-/// Time between two lines on what a process that drains waits for.
-const REPORT: Duration = Duration::from_secs(1);
-
 /// All that a process is set up with.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -208,44 +192,12 @@
         }
     }
     look.leaving.store(true, Ordering::Release);
-    drain(&direct, &stage, &open, grace, &mut signals).await;
+    stop::drain(&direct, &stage, &open, grace, &mut signals).await;
     let cut = stop::log_cut(&direct);
     log_event!(log, Event::Stopped, "connections" => open.count(), "cut" => cut);
     Ok(())
 }
 
-/// Ends the process's work without cutting any: the balancer is told first, then connections
-/// end with their answers.
-async fn drain(
-    direct: &Arc<Direct>,
-    stage: &watch::Sender<door::Stage>,
-    open: &door::Open,
-    grace: Duration,
-    signals: &mut mpsc::Receiver<i32>,
-) {
-    let began = Instant::now();
-    let node = direct.node();
-    node.drain();
-    if let Some(control) = node.control().cloned() {
-        tokio::spawn(async move { control.hand_over(HAND_OVER).await });
-    }
-    stop::log_progress(direct);
-    time::sleep(NOTICE).await;
-    let _ = stage.send(door::Stage::Closing);
-    let limit = began + grace.saturating_sub(RESERVE);
-    let mut report = time::interval(REPORT);
-    while Instant::now() < limit && open.count() > 0 {
-        tokio::select! {
-            () = time::sleep(DRAIN_POLL) => {}
-            _ = report.tick() => stop::log_progress(direct),
-            signal = signals.recv() => match signal {
-                Some(consts::SIGHUP) => {}
-                _ => return,
-            }
-        }
-    }
-}
-
 /// The settings that a process runs with, and where newer ones come from.
 struct Reloaded {
     seeds: Vec<SocketAddr>,
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -42,6 +42,9 @@
 /// When a caller is asked to come back where nothing says better.
 const COME_BACK: Duration = Duration::from_millis(300);
 
+/// Why a request is refused that was not admitted before this process ends.
+const ENDS: &str = "this process ends";
+
 /// Pause before an attempt after two that were refused, doubled with each: who is full now may not
 /// be soon, and each refusal counts as one that was sent again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(25);
@@ -86,11 +89,21 @@
         let (head, body) = request.into_parts();
         let ask = self.dialect.ask(&head);
         let mut span = span::Span::new(self, &ask.id);
-        let course = match self.admit(ask, head, body, span.progress()).await {
+        let lifetime = self.node.lifetime();
+        let admitted = tokio::select! {
+            admitted = self.admit(ask, head, body, span.progress()) => admitted,
+            () = lifetime.over() => Err(Denied::new(StatusCode::SERVICE_UNAVAILABLE, ENDS)),
+        };
+        let course = match admitted {
             Ok(course) => course,
             Err(denied) => {
                 span.end(denied.status, denied.why);
-                return refuse(denied.status, denied.come_back);
+                // Other entries have what this one waited for.
+                let is_ending = lifetime.is_ending();
+                let come_back = denied
+                    .come_back
+                    .map(|one| if is_ending { Duration::ZERO } else { one });
+                return refuse(denied.status, come_back);
             }
         };
         span.serves(&course.service);
@@ -154,6 +167,7 @@
             fingerprint,
             version: catalog.version(),
             progress: progress.clone(),
+            lifetime: self.node.lifetime().clone(),
         })
     }
 
@@ -187,7 +201,11 @@
         let now = self.node.now();
         self.state().budget.request(now, &course.service);
         let end = time::Instant::from_std(course.end);
-        let got = time::timeout_at(end, self.pursue(&mut course, None)).await;
+        let lifetime = course.lifetime.clone();
+        let got = tokio::select! {
+            got = time::timeout_at(end, self.pursue(&mut course, None)) => got,
+            () = lifetime.over() => Ok(Err(course.end_here().into())),
+        };
         let missed = match got {
             Ok(Ok(attempt::Got::Whole(whole))) => {
                 span.first(0.0);
@@ -307,8 +325,8 @@
                     Ok(Err(_)) => continue,
                     Err(_) => verdict::End::Late,
                 };
-                let resumed = direct.resume(&mut course, &reader, &lost, after.as_deref());
-                if let Ok(Some((piece, next))) = time::timeout_at(limit, resumed).await {
+                let resumed = direct.resume_in_time(&mut course, &reader, &lost, after.as_deref());
+                if let Some((piece, next)) = resumed.await {
                         course.progress.reach(progress::Stage::Answering);
                         span.passed(piece.events);
                         if piece.last.is_some() {
@@ -329,6 +347,24 @@
         response
     }
 
+    /// The same as [`Self::resume`], as long as its caller's time and this process last.
+    async fn resume_in_time(
+        self: &Arc<Self>,
+        course: &mut Course,
+        reader: &stream::Reader,
+        lost: &verdict::End,
+        after: Option<&str>,
+    ) -> Option<(stream::Piece, Box<stream::Reader>)> {
+        let end = time::Instant::from_std(course.end);
+        let lifetime = course.lifetime.clone();
+        tokio::select! {
+            resumed = time::timeout_at(end, self.resume(course, reader, lost, after)) => {
+                resumed.ok().flatten()
+            }
+            () = lifetime.over() => None,
+        }
+    }
+
     /// Goes on with a stream at another server after its last whole event.
     async fn resume(
         self: &Arc<Self>,
--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -1,21 +1,101 @@
-//! What the end of a process does to the requests in progress: counted while it drains, named if
-//! they are cut.
+//! The end of a process: its balancer is told, requests end as far as they can, those that cannot
+//! are rejected in time, and what is cut all the same is named.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use signal_hook::consts;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time;
 
 use super::Direct;
+use super::door;
 use super::progress;
 use crate::edge::event::Event;
 use crate::log_event;
 
+/// Time between saying not ready and closing connections: a balancer that asks each second
+/// takes a process out after two misses.
+const NOTICE: Duration = Duration::from_millis(2_400);
+
+/// Time before the end of the grace period by which the process is gone.
+const RESERVE: Duration = Duration::from_millis(600);
+
+/// Time before that by which every rejection is on its way.
+const DELIVERY: Duration = Duration::from_millis(200);
+
+/// Time for another control process to take the leadership over.
+const HAND_OVER: Duration = Duration::from_secs(1);
+
+const POLL: Duration = Duration::from_millis(25);
+
+/// Time between two lines on what a process that drains waits for.
+const REPORT: Duration = Duration::from_secs(1);
+
 /// Requests that are logged by a line of their own when they are cut.
 const MOST_LINES: usize = 100;
 
 /// Ids in one line for the others.
 const MOST_IDS: usize = 64;
 
+/// Drains the process: until its connections have ended, or the grace period is nearly over, or a
+/// second signal comes.
+pub(super) async fn drain(
+    direct: &Arc<Direct>,
+    stage: &watch::Sender<door::Stage>,
+    open: &door::Open,
+    grace: Duration,
+    signals: &mut mpsc::Receiver<i32>,
+) {
+    let began = Instant::now();
+    let node = direct.node();
+    let lifetime = node.lifetime();
+    lifetime.end_by(began + grace.saturating_sub(RESERVE + DELIVERY));
+    node.drain();
+    if let Some(control) = node.control().cloned() {
+        tokio::spawn(async move { control.hand_over(HAND_OVER).await });
+    }
+    log_progress(direct);
+    time::sleep(NOTICE).await;
+    // Its receivers are the listeners, which end with the process.
+    let _ = stage.send(door::Stage::Closing);
+    let limit = time::Instant::from_std(began + grace.saturating_sub(RESERVE));
+    tokio::select! {
+        _ = time::timeout_at(limit, closed(open)) => return,
+        () = report(direct) => {}
+        () = second_signal(signals) => {}
+    }
+    lifetime.end_by(Instant::now());
+    // What has not ended by then is cut.
+    let _ = time::timeout(DELIVERY, closed(open)).await;
+}
+
+/// Waits until all connections have ended.
+async fn closed(open: &door::Open) {
+    while open.count() > 0 {
+        time::sleep(POLL).await;
+    }
+}
+
+/// Waits for another signal to stop.
+async fn second_signal(signals: &mut mpsc::Receiver<i32>) {
+    while signals.recv().await == Some(consts::SIGHUP) {}
+}
+
+/// Logs each second what the process waits for. Never ends.
+async fn report(direct: &Direct) {
+    let mut tick = time::interval(REPORT);
+    loop {
+        tick.tick().await;
+        log_progress(direct);
+    }
+}
+
 /// Logs how many requests are in progress, by stage.
-pub(super) fn log_progress(direct: &Direct) {
+fn log_progress(direct: &Direct) {
     let [
         admission,
         waiting,
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -19,6 +19,7 @@
 use super::control;
 use super::document;
 use super::entry;
+use super::lifetime;
 use super::link;
 use super::metric;
 use super::sidecar;
@@ -70,6 +71,7 @@
     /// Suspects just told, each until a time: a view without them is behind.
     told: Mutex<Vec<(agree::Suspect, Duration)>>,
     draining: AtomicBool,
+    lifetime: lifetime::Lifetime,
     entry: OnceLock<Arc<entry::Entry>>,
     sidecar: OnceLock<Arc<sidecar::Sidecar>>,
     control: OnceLock<Arc<control::Control>>,
@@ -95,6 +97,7 @@
             view: ArcSwap::default(),
             told: Mutex::default(),
             draining: AtomicBool::new(false),
+            lifetime: lifetime::Lifetime::default(),
             entry: OnceLock::new(),
             sidecar: OnceLock::new(),
             control: OnceLock::new(),
@@ -192,6 +195,11 @@
         self.draining.store(true, Ordering::Release);
     }
 
+    /// How long it goes on.
+    pub fn lifetime(&self) -> &lifetime::Lifetime {
+        &self.lifetime
+    }
+
     /// Requests and attempts in progress, over its roles.
     pub fn in_progress(&self) -> usize {
         let entry = self.entry().map_or(0, |role| role.in_progress());
--- a/tests/request_patience.rs
+++ b/tests/request_patience.rs
@@ -165,3 +165,23 @@
     };
     assert!(!wait(0).may_go_on(&engine, &longer), "never whole in time");
 }
+
+/// An answer that cannot be whole before its process ends is not begun, however long its caller waits.
+#[test]
+fn within_life() {
+    let at = |life| wait(0).within(life);
+    let ends = |life, first, writing| at(life).ends_in_life(ms(first), ms(writing));
+    assert!(ends(None, 9_000, 9_000), "no stop was asked for");
+    assert!(ends(Some(ms(5_000)), 2_000, 2_900));
+    assert!(!ends(Some(ms(5_000)), 2_000, 3_000));
+    assert!(!ends(Some(ms(0)), 0, 0), "the end has come");
+}
+
+/// The end of a process gives its callers no better place among those that wait elsewhere.
+#[test]
+fn life_keeps_rank() {
+    let need = long(182_000);
+    let ranks = [None, Some(ms(7_000)), Some(ms(100))];
+    let ranks = ranks.map(|life| wait(5_000).within(life).rank(&engine(), &need));
+    assert!(ranks.iter().all(|one| *one == ranks[0]), "{ranks:?}");
+}
--- a/tests/retry_verdicts.rs
+++ b/tests/retry_verdicts.rs
@@ -177,3 +177,17 @@
         assert!(!verdict::again(&route(kind, true), &end, past(0), LEFT));
     }
 }
+
+/// A process that ends sends its callers elsewhere at once, and says "not run" only of what did not.
+#[test]
+fn ending_elsewhere() {
+    let end = End::Ending;
+    assert_eq!(
+        verdict::refusal(&end, past(0), LEFT),
+        Refusal::Busy(Duration::ZERO)
+    );
+    assert_eq!(verdict::refusal(&end, past(1), LEFT), Refusal::Failed);
+    for kind in [Kind::Safe, Kind::Unsafe, Kind::Stream] {
+        assert!(!verdict::again(&route(kind, true), &end, past(0), LEFT));
+    }
+}
