--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -58,17 +58,20 @@
     if let Some(control) = node.control().cloned() {
         tokio::spawn(async move { control.hand_over(HAND_OVER).await });
     }
-    log_progress(direct);
-    time::sleep(NOTICE).await;
-    // Its receivers are the listeners, which end with the process.
-    let _ = stage.send(door::Stage::Closing);
+    let drained = async {
+        time::sleep(NOTICE).await;
+        // Its receivers are the listeners, which end with the process.
+        let _ = stage.send(door::Stage::Closing);
+        closed(open).await;
+    };
     let limit = time::Instant::from_std(began + grace.saturating_sub(RESERVE));
     tokio::select! {
-        _ = time::timeout_at(limit, closed(open)) => return,
+        _ = time::timeout_at(limit, drained) => return,
         () = report(direct) => {}
         () = second_signal(signals) => {}
     }
     lifetime.end_by(Instant::now());
+    let _ = stage.send(door::Stage::Closing);
     // What has not ended by then is cut.
     let _ = time::timeout(DELIVERY, closed(open)).await;
 }
