--- a/src/direct.rs
+++ b/src/direct.rs
@@ -25,3 +25,4 @@
 pub mod subset;
 pub mod tally;
 pub mod verdict;
+pub mod writing;
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -25,6 +25,7 @@
 use crate::direct::register;
 use crate::direct::roster;
 use crate::direct::tally;
+use crate::direct::writing;
 use crate::log_event;
 use crate::wire::agree;
 
@@ -93,6 +94,8 @@
     pub quotas: quota::Quotas,
     /// What was sent to backend servers lately.
     pub tally: tally::Tally,
+    /// How long answers took to be written.
+    pub writing: writing::Writing,
 }
 
 impl State {
@@ -149,6 +152,7 @@
             pressure: pressure::Pressure::default(),
             quotas: quota::Quotas::default(),
             tally: tally::Tally::default(),
+            writing: writing::Writing::default(),
         };
         Arc::new(Self {
             node: Arc::clone(node),
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -50,6 +50,8 @@
     Full,
     /// No server is known.
     Nowhere,
+    /// This process would end before the answer.
+    Ending,
 }
 
 /// A request's place on the board, given back when it is dropped.
@@ -106,6 +108,9 @@
         let Some(place) = placed else {
             return Choice::NotNow;
         };
+        if !course.ends_in_life(place.first_ms, course.writing(&state.writing)) {
+            return Choice::Ending;
+        }
         if place.delay_ms > 0.0 {
             return Choice::Later;
         }
@@ -197,9 +202,13 @@
         }
         let servers = self.servers(&mut state, now, &records, part);
         let any_waits = state.board.any_waits(now);
+        let writing = course.writing(&state.writing);
         drop(state);
         let place = locate(course, &servers, any_waits);
-        let is_better = place.is_some_and(|one| one.is_worth_moving(course.route.objective));
+        let is_better = place.is_some_and(|one| {
+            one.is_worth_moving(course.route.objective)
+                && course.ends_in_life(one.first_ms, writing)
+        });
         if !is_better && self.lines.allow(Event::RequestStays, now) {
             log_event!(self.node.log(), Event::RequestStays, "request" => &course.ask.id,
                 "server" => server, "others" => servers.len(), "left_ms" => course.left().as_millis() as u64);
@@ -260,6 +269,13 @@
         true
     }
 
+    /// Whether a request that has no place yet may have one in time before this process ends.
+    fn may_wait_here(&self, course: &Course) -> bool {
+        let first_ms = course.fastest_ms();
+        let writing = course.writing(&self.state().writing);
+        course.ends_in_life(first_ms, writing)
+    }
+
     /// Chooses servers for a request, once it is its turn and there is memory for it.
     pub(super) async fn choose_in_turn(
         self: &Arc<Self>,
@@ -283,10 +299,11 @@
             if turn.has_come(course) {
                 match self.choose(course, Reading::Lane) {
                     Choice::Now(chosen) => return Ok(*chosen),
+                    Choice::Ending => return Err(verdict::End::Ending),
                     Choice::Nowhere => return self.choose_only(course).await,
                     Choice::Later => turn.wait(course),
                     Choice::NotNow => turn.leave(),
-                    Choice::Full if !course.may_wait_here() => {
+                    Choice::Full if !self.may_wait_here(course) => {
                         return Err(verdict::End::Ending);
                     }
                     Choice::Full => {
@@ -304,7 +321,7 @@
             if !course.may_wait() {
                 return Err(verdict::End::Unsent);
             }
-            if !course.may_wait_here() {
+            if !self.may_wait_here(course) {
                 return Err(verdict::End::Ending);
             }
             time::sleep(turn.pause()).await;
--- a/src/edge/direct/course.rs
+++ b/src/edge/direct/course.rs
@@ -15,6 +15,7 @@
 use crate::direct::place;
 use crate::direct::register;
 use crate::direct::verdict;
+use crate::direct::writing;
 use crate::edge::lifetime;
 use crate::wire::id;
 
@@ -75,13 +76,13 @@
     }
 
     /// Time for which the rest of its answer is expected to be written, at most.
-    pub fn writing(&self) -> Duration {
+    pub fn writing(&self, known: &writing::Writing) -> Duration {
         let (Some(engine), Some(size)) = (&self.engine, self.ask.size) else {
             return Duration::ZERO;
         };
         let written = u64::from(self.progress.mark().events) * u64::from(engine.stride);
         let rest = self.expected_answer().saturating_sub(written);
-        patience::writing(engine, size.prompt, rest)
+        known.most(&self.service, patience::writing(engine, size.prompt, rest))
     }
 
     /// Whether its answer would be whole before this process ends, if its first event comes after
@@ -108,11 +109,6 @@
         engine.is_none_or(|engine| self.wait().allows(&engine, &need, first))
     }
 
-    /// Whether it may be answered before this process ends, though it has no place yet.
-    pub fn may_wait_here(&self) -> bool {
-        self.ends_in_life(self.fastest_ms(), self.writing())
-    }
-
     /// Least milliseconds to its first event.
     pub fn fastest_ms(&self) -> f64 {
         let engine = self.engine.filter(|_| self.ask.size.is_some());
--- a/src/edge/direct/permit.rs
+++ b/src/edge/direct/permit.rs
@@ -130,10 +130,14 @@
             return Vec::new();
         }
         let servers = self.servers(&mut state, now, &records, subset::Subset::WHOLE);
+        let writing = course.writing(&state.writing);
         drop(state);
         let all = records.into_iter().zip(servers);
         let all = all.filter_map(|(record, server)| {
             let place = lone_place(course, &server, occasion)?;
+            if !course.ends_in_life(place.first_ms, writing) {
+                return None;
+            }
             Some(Candidate {
                 record,
                 server,
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -297,6 +297,7 @@
         let headers = answer_headers(head);
         let direct = Arc::clone(self);
         let pieces = async_stream::stream! {
+            let began = Instant::now();
             let mut after = first.last.clone();
             course.progress.reach(progress::Stage::Answering);
             span.passed(first.events);
@@ -315,6 +316,7 @@
                     }
                     Ok(Ok(stream::Next::End)) => {
                         direct.state().suspects.clear(&course.fingerprint);
+                        direct.observe_writing(&course, began.elapsed());
                         span.end(status, "answered");
                         return;
                     }
@@ -347,6 +349,19 @@
         response
     }
 
+    /// Takes note of how long an answer was written, if one server wrote it all.
+    fn observe_writing(&self, course: &Course, took: Duration) {
+        let (Some(engine), Some(size)) = (&course.engine, course.ask.size) else {
+            return;
+        };
+        if course.past.ran > 1 {
+            return;
+        }
+        let expected = patience::writing(engine, size.prompt, course.expected_answer());
+        let mut state = self.state();
+        state.writing.observe(&course.service, took, expected);
+    }
+
     /// The same as [`Self::resume`], as long as its caller's time and this process last.
     async fn resume_in_time(
         self: &Arc<Self>,
--- /dev/null
+++ b/tests/answer_forecast.rs
@@ -0,0 +1,65 @@
+//! How long answers are expected to be written, by what was seen of others.
+
+use std::time::Duration;
+
+use wigeonbarrow::direct::writing::Writing;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn after(ratios: &[f64]) -> Duration {
+    let mut writing = Writing::default();
+    for ratio in ratios {
+        writing.observe("pool", SECOND.mul_f64(*ratio), SECOND);
+    }
+    writing.most("pool", SECOND)
+}
+
+#[test]
+fn unseen_service() {
+    let writing = Writing::default();
+    assert!(
+        writing.most("pool", SECOND) > SECOND,
+        "servers read beside writing"
+    );
+    assert_eq!(writing.most("pool", Duration::ZERO), Duration::ZERO);
+}
+
+#[test]
+fn learns_pace() {
+    let steady = after(&[3.0; 100]);
+    assert!(
+        steady > SECOND * 29 / 10 && steady < SECOND * 33 / 10,
+        "{steady:?}"
+    );
+    let mixed: Vec<f64> = (0..100).map(|one| f64::from(one % 5) + 1.0).collect();
+    assert!(
+        after(&mixed) > SECOND * 35 / 10,
+        "most of them, not the half"
+    );
+}
+
+/// One answer that was far longer than its caller thought does not turn the next ones away.
+#[test]
+fn one_outlier() {
+    let mut ratios = vec![1.0; 50];
+    ratios.push(1e6);
+    assert!(after(&ratios) < SECOND * 2);
+}
+
+#[test]
+fn services_apart() {
+    let mut writing = Writing::default();
+    for _ in 0..50 {
+        writing.observe("slow", SECOND * 5, SECOND);
+    }
+    assert!(writing.most("slow", SECOND) > SECOND * 4);
+    assert_eq!(
+        writing.most("pool", SECOND),
+        Writing::default().most("pool", SECOND)
+    );
+    writing.observe("pool", SECOND, Duration::ZERO);
+    assert_eq!(
+        writing.most("pool", SECOND),
+        Writing::default().most("pool", SECOND)
+    );
+}
