--- a/src/direct/writing.rs
+++ b/src/direct/writing.rs
@@ -46,9 +46,19 @@
         known.deviation += (off.abs() - known.deviation) * WEIGHT;
     }
 
+    /// Time in which an answer of `service` is written on average, where the model gives
+    /// `expected`.
+    pub fn mean(&self, service: &str, expected: Duration) -> Duration {
+        expected.mul_f64(self.ratio(service).mean)
+    }
+
     /// Time within which most answers of `service` are written, where the model gives `expected`.
     pub fn most(&self, service: &str, expected: Duration) -> Duration {
-        let known = self.services.get(service).unwrap_or(&UNSEEN);
+        let known = self.ratio(service);
         expected.mul_f64(known.mean + known.deviation * MARGIN)
     }
+
+    fn ratio(&self, service: &str) -> &Ratio {
+        self.services.get(service).unwrap_or(&UNSEEN)
+    }
 }
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -1,6 +1,8 @@
 //! One attempt of a request at one backend server, with those that help it read.
 
 use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::response;
@@ -32,6 +34,9 @@
 /// it unseen, and then nobody knows whether the request ran.
 const KEPT_FOR_UNSAFE: bool = false;
 
+/// Pause before it is looked again whether an answer comes before this process ends.
+const LIFE_POLL: Duration = Duration::from_millis(100);
+
 /// Why a sent request was given up on: its server answers nothing, or not this request.
 const SILENT: &str = "silent";
 const HUNG_UP: &str = "hung";
@@ -89,7 +94,11 @@
         };
         let server = chosen.server.clone();
         course.past.tried += 1;
-        let outcome = self.attempt_at(course, chosen, after).await;
+        let hopeless = self.hopeless(course, chosen.first_ms, after);
+        let outcome = tokio::select! {
+            outcome = self.attempt_at(course, chosen, after) => outcome,
+            () = hopeless => Err(course.end_here().into()),
+        };
         if let Err(missed) = &outcome {
             self.judge(course, &server, &missed.end);
             course.tried.push(server.life);
@@ -100,6 +109,35 @@
         outcome
     }
 
+    /// Ends when a request that may be repeated, and of which its caller has nothing yet, would
+    /// not be answered before this process ends. Its caller repeats it elsewhere in time.
+    fn hopeless(
+        &self,
+        course: &Course,
+        first_ms: f64,
+        after: Option<&str>,
+    ) -> impl Future<Output = ()> + use<> {
+        let is_sized = course.engine.is_some() && course.ask.size.is_some();
+        let may_repeat = is_sized && course.route.repeatable() && after.is_none();
+        let first = Instant::now() + patience::millis(first_ms).min(course.left());
+        // Its prompt is being read: it is only given up if it is more likely cut than answered.
+        let writing = course.mean_writing(&self.state().writing);
+        let lifetime = course.lifetime.clone();
+        async move {
+            if !may_repeat {
+                return std::future::pending().await;
+            }
+            lifetime.ending().await;
+            loop {
+                let first = first.saturating_duration_since(Instant::now());
+                if lifetime.left().is_some_and(|left| left < first + writing) {
+                    return;
+                }
+                time::sleep(LIFE_POLL).await;
+            }
+        }
+    }
+
     async fn attempt_at(
         self: &Arc<Self>,
         course: &mut Course,
--- a/src/edge/direct/course.rs
+++ b/src/edge/direct/course.rs
@@ -75,14 +75,24 @@
         verdict::End::Ending
     }
 
-    /// Time for which the rest of its answer is expected to be written, at most.
+    /// Time within which the rest of its answer is most likely written.
     pub fn writing(&self, known: &writing::Writing) -> Duration {
+        known.most(&self.service, self.modelled_writing())
+    }
+
+    /// The same on average.
+    pub fn mean_writing(&self, known: &writing::Writing) -> Duration {
+        known.mean(&self.service, self.modelled_writing())
+    }
+
+    /// Time to write the rest of its answer, by the time model.
+    fn modelled_writing(&self) -> Duration {
         let (Some(engine), Some(size)) = (&self.engine, self.ask.size) else {
             return Duration::ZERO;
         };
         let written = u64::from(self.progress.mark().events) * u64::from(engine.stride);
         let rest = self.expected_answer().saturating_sub(written);
-        known.most(&self.service, patience::writing(engine, size.prompt, rest))
+        patience::writing(engine, size.prompt, rest)
     }
 
     /// Whether its answer would be whole before this process ends, if its first event comes after
--- a/tests/answer_forecast.rs
+++ b/tests/answer_forecast.rs
@@ -63,3 +63,14 @@
         Writing::default().most("pool", SECOND)
     );
 }
+
+#[test]
+fn mean_below_most() {
+    let mut writing = Writing::default();
+    for at in 0..100 {
+        writing.observe("pool", SECOND * (1 + at % 4), SECOND);
+    }
+    let mean = writing.mean("pool", SECOND);
+    assert!(mean > SECOND * 2 && mean < SECOND * 3, "{mean:?}");
+    assert!(mean < writing.most("pool", SECOND));
+}
