--- a/src/edge/direct/host.rs
+++ b/src/edge/direct/host.rs
@@ -119,42 +119,29 @@
         node.set_control(role);
     }
     let direct = Direct::new(&node, setup.direct.clone(), parts.dialect);
-    let (stage, closing) = watch::channel(door::Stage::Open);
-    let open = door::Open::default();
+    let (doors, closing) = stop::Doors::open();
     if let Some(addr) = setup.front {
         let listener = bind(addr).await.context("callers' listener")?;
         let handler = Arc::clone(&direct);
-        tokio::spawn(door::serve(
-            listener,
-            handler,
-            closing.clone(),
-            open.clone(),
-        ));
+        let open = doors.callers.clone();
+        tokio::spawn(door::serve(listener, handler, closing.clone(), open));
     }
-    let (_always, never) = watch::channel(door::Stage::Open);
     if let Some(addr) = setup.admin {
         let listener = bind(addr).await.context("operators' listener")?;
         let handler = (parts.admin)(&direct);
-        tokio::spawn(door::serve(
-            listener,
-            handler,
-            never.clone(),
-            door::Open::default(),
-        ));
+        let open = doors.operators.clone();
+        tokio::spawn(door::serve(listener, handler, closing, open));
     }
     let look = Arc::new(Look {
         direct: Arc::clone(&direct),
         leaving: AtomicBool::new(false),
     });
+    let (_always, never) = watch::channel(door::Stage::Open);
     for addr in setup.ready.into_iter().chain(setup.metrics) {
         let listener = bind(addr).await.context("readiness and metrics")?;
         let handler = Arc::clone(&look);
-        tokio::spawn(door::serve(
-            listener,
-            handler,
-            never.clone(),
-            door::Open::default(),
-        ));
+        let open = door::Open::default();
+        tokio::spawn(door::serve(listener, handler, never.clone(), open));
     }
     let key = setup.node.process_key.clone();
     let handler = Arc::clone(&node);
@@ -192,9 +179,10 @@
         }
     }
     look.leaving.store(true, Ordering::Release);
-    stop::drain(&direct, &stage, &open, grace, &mut signals).await;
+    stop::drain(&direct, &doors, grace, &mut signals).await;
     let cut = stop::log_cut(&direct);
-    log_event!(log, Event::Stopped, "connections" => open.count(), "cut" => cut);
+    log_event!(log, Event::Stopped, "connections" => doors.callers.count(),
+        "calls" => doors.operators.count(), "cut" => cut);
     Ok(())
 }
 
--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -41,12 +41,42 @@
 /// Ids in one line for the others.
 const MOST_IDS: usize = 64;
 
+/// The listeners that a stop closes.
+pub(super) struct Doors {
+    stage: watch::Sender<door::Stage>,
+    /// Connections of callers.
+    pub(super) callers: door::Open,
+    /// Connections of operators and backend servers.
+    pub(super) operators: door::Open,
+}
+
+impl Doors {
+    /// Open ones, and what tells their listeners to close.
+    pub(super) fn open() -> (Self, watch::Receiver<door::Stage>) {
+        let (stage, closing) = watch::channel(door::Stage::Open);
+        let doors = Self {
+            stage,
+            callers: door::Open::default(),
+            operators: door::Open::default(),
+        };
+        (doors, closing)
+    }
+
+    /// Takes no connections any more, and waits until those that are open have ended.
+    async fn close(&self) {
+        // Its receivers are the listeners, which end with the process.
+        let _ = self.stage.send(door::Stage::Closing);
+        while self.callers.count() + self.operators.count() > 0 {
+            time::sleep(POLL).await;
+        }
+    }
+}
+
 /// Drains the process: until its connections have ended, or the grace period is nearly over, or a
 /// second signal comes.
 pub(super) async fn drain(
     direct: &Arc<Direct>,
-    stage: &watch::Sender<door::Stage>,
-    open: &door::Open,
+    doors: &Doors,
     grace: Duration,
     signals: &mut mpsc::Receiver<i32>,
 ) {
@@ -60,9 +90,7 @@
     }
     let drained = async {
         time::sleep(NOTICE).await;
-        // Its receivers are the listeners, which end with the process.
-        let _ = stage.send(door::Stage::Closing);
-        closed(open).await;
+        doors.close().await;
     };
     let limit = time::Instant::from_std(began + grace.saturating_sub(RESERVE));
     tokio::select! {
@@ -71,16 +99,8 @@
         () = second_signal(signals) => {}
     }
     lifetime.end_by(Instant::now());
-    let _ = stage.send(door::Stage::Closing);
     // What has not ended by then is cut.
-    let _ = time::timeout(DELIVERY, closed(open)).await;
-}
-
-/// Waits until all connections have ended.
-async fn closed(open: &door::Open) {
-    while open.count() > 0 {
-        time::sleep(POLL).await;
-    }
+    let _ = time::timeout(DELIVERY, doors.close()).await;
 }
 
 /// Waits for another signal to stop.
