--- a/src/edge/direct/host.rs
+++ b/src/edge/direct/host.rs
@@ -120,14 +120,19 @@
     }
     let direct = Direct::new(&node, setup.direct.clone(), parts.dialect);
     let (doors, closing) = stop::Doors::open();
-    if let Some(addr) = setup.front {
-        let listener = bind(addr).await.context("callers' listener")?;
+    // Callers' comes last: a process that fails to start takes no connection that it would cut.
+    let admin = bind_any(setup.admin, "operators' listener").await?;
+    let mut looks = Vec::new();
+    for addr in setup.ready.into_iter().chain(setup.metrics) {
+        looks.push(bind(addr).await.context("readiness and metrics")?);
+    }
+    let front = bind_any(setup.front, "callers' listener").await?;
+    if let Some(listener) = front {
         let handler = Arc::clone(&direct);
         let open = doors.callers.clone();
         tokio::spawn(door::serve(listener, handler, closing.clone(), open));
     }
-    if let Some(addr) = setup.admin {
-        let listener = bind(addr).await.context("operators' listener")?;
+    if let Some(listener) = admin {
         let handler = (parts.admin)(&direct);
         let open = doors.operators.clone();
         tokio::spawn(door::serve(listener, handler, closing, open));
@@ -137,8 +142,7 @@
         leaving: AtomicBool::new(false),
     });
     let (_always, never) = watch::channel(door::Stage::Open);
-    for addr in setup.ready.into_iter().chain(setup.metrics) {
-        let listener = bind(addr).await.context("readiness and metrics")?;
+    for listener in looks {
         let handler = Arc::clone(&look);
         let open = door::Open::default();
         tokio::spawn(door::serve(listener, handler, never.clone(), open));
@@ -277,6 +281,16 @@
     }
 }
 
+async fn bind_any(
+    addr: Option<SocketAddr>,
+    what: &'static str,
+) -> anyhow::Result<Option<TcpListener>> {
+    match addr {
+        Some(addr) => bind(addr).await.context(what).map(Some),
+        None => Ok(None),
+    }
+}
+
 /// Binds `addr`; a former life of the process may still be closing.
 async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
     let mut tries = 0;
