--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -26,6 +26,9 @@
 const HAND_OVER: Duration = Duration::from_secs(3);
 
 /// Pause between two looks at what is still in progress.
+/// Time for callers to be told that their requests end with the process.
+const DELIVERY: Duration = Duration::from_millis(500);
+
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
 fn main() {
@@ -156,7 +159,8 @@
 }
 
 /// Ends the process's work without cutting any: first the balancer is told, then new work is
-/// refused, then what is in progress goes on to its end. A second signal ends the wait.
+/// refused, then what is in progress goes on to its end. What has not ended at the drain limit, or
+/// at a second signal, is told so.
 async fn drain(
     node: &node::Node,
     front: &http::Front,
@@ -164,20 +168,28 @@
     signals: &mut mpsc::Receiver<i32>,
 ) {
     front.unready();
-    if settings.entry {
-        tokio::select! {
-            () = tokio::time::sleep(settings.drain_notice) => {}
-            _ = signals.recv() => {}
+    let drained = async {
+        if settings.entry {
+            tokio::time::sleep(settings.drain_notice).await;
         }
+        node.drain();
+        let least = Instant::now() + settings.drain_least;
+        // What has not ended by then is told so below.
+        let _ = tokio::time::timeout(settings.drain_limit, idle(node, least)).await;
+    };
+    tokio::select! {
+        () = drained => {}
+        _ = signals.recv() => node.drain(),
     }
-    node.drain();
-    let limit = Instant::now() + settings.drain_limit;
-    // A leaving sidecar tells the entries before it goes, also when it has nothing to do.
-    let least = Instant::now() + settings.drain_least;
-    while Instant::now() < limit && (node.in_progress() > 0 || Instant::now() < least) {
-        tokio::select! {
-            () = tokio::time::sleep(DRAIN_POLL) => {}
-            _ = signals.recv() => return,
-        }
+    node.lifetime().end_by(Instant::now());
+    // What has not ended by then is cut.
+    let _ = tokio::time::timeout(DELIVERY, idle(node, Instant::now())).await;
+}
+
+/// Waits until nothing is in progress, and until `least`: a leaving sidecar tells the entries before
+/// it goes, also when it has nothing to do.
+async fn idle(node: &node::Node, least: Instant) {
+    while node.in_progress() > 0 || Instant::now() < least {
+        tokio::time::sleep(DRAIN_POLL).await;
     }
 }
--- a/src/edge/entry/drive.rs
+++ b/src/edge/entry/drive.rs
@@ -76,6 +76,7 @@
 enum Input {
     Wake,
     Gone,
+    Ending,
     Sent,
     Reply(usize, Option<run::Reply>),
     Choice(core::Choice),
@@ -134,6 +135,8 @@
     pub async fn run(mut self, tx: mpsc::Sender<Part>) {
         let mut gone = false;
         let mut timer = pin!(time::sleep(Duration::ZERO));
+        let lifetime = self.node.lifetime().clone();
+        let mut over = pin!(lifetime.over());
         loop {
             while let Some(action) = self.actions.pop_front() {
                 self.act(action).await;
@@ -157,7 +160,7 @@
             if timer.deadline().max(at) - timer.deadline().min(at) > Duration::from_millis(1) {
                 timer.as_mut().reset(at);
             }
-            let input = self.input(timer.as_mut(), &tx, gone).await;
+            let input = self.input(timer.as_mut(), over.as_mut(), &tx, gone).await;
             if matches!(input, Input::Wake) && self.ended {
                 break;
             }
@@ -178,6 +181,7 @@
     async fn input(
         &mut self,
         timer: Pin<&mut time::Sleep>,
+        over: Pin<&mut impl Future<Output = ()>>,
         tx: &mpsc::Sender<Part>,
         gone: bool,
     ) -> Input {
@@ -187,6 +191,7 @@
             biased;
             () = timer => Input::Wake,
             () = tx.closed(), if !gone => Input::Gone,
+            () = over, if !self.ended => Input::Ending,
             permit = tx.reserve(), if blocked => {
                 if let (Ok(permit), Some(part)) = (permit, self.parts.pop_front()) {
                     permit.send(part);
@@ -220,6 +225,7 @@
                 self.parts.clear();
                 self.event(request::Event::Gone);
             }
+            Input::Ending => self.event(request::Event::Ending),
             Input::Reply(index, reply) => self.reply(index, reply).await,
             Input::Choice(Ok(mut place)) => {
                 if let Some(plan) = place.gang.take() {
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -69,6 +69,8 @@
     Lost(id::Attempt),
     /// The caller went away.
     Gone,
+    /// This entry ends before the answer.
+    Ending,
 }
 
 /// What to do.
--- a/src/entry/request/decide.rs
+++ b/src/entry/request/decide.rs
@@ -101,6 +101,13 @@
             Event::Reply(reply) => self.reply(now, reply, &mut out),
             Event::Lost(id) => self.lost(now, id, &mut out),
             Event::Gone => self.give_up(Cause::Cancelled, "the caller went away", &mut out),
+            Event::Ending => {
+                self.give_up(
+                    Cause::Draining,
+                    "this entry ends before the answer",
+                    &mut out,
+                );
+            }
         }
         out
     }
