--- a/src/edge/direct/door.rs
+++ b/src/edge/direct/door.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::header;
 use http_body_util::Either;
 use http_body_util::Full;
 use http_body_util::StreamBody;
@@ -61,7 +62,9 @@
     /// It takes connections.
     #[default]
     Open,
-    /// It ends connections with their next answer, idle ones at once.
+    /// It takes connections, and ends each with its next answer.
+    Leaving,
+    /// It takes none, and ends each with its answer, idle ones at once.
     Closing,
 }
 
@@ -123,9 +126,18 @@
         return;
     }
     let idle = handler.idle_timeout();
+    let leaving = stage.clone();
     let service = service::service_fn(move |request| {
         let handler = Arc::clone(&handler);
-        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+        let leaving = leaving.clone();
+        async move {
+            let mut response = handler.handle(request).await;
+            if *leaving.borrow() != Stage::Open {
+                let close = header::HeaderValue::from_static("close");
+                response.headers_mut().insert(header::CONNECTION, close);
+            }
+            Ok::<_, Infallible>(response)
+        }
     });
     let conn = http1::Builder::new()
         .timer(TokioTimer::new())
--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -62,9 +62,14 @@
         (doors, closing)
     }
 
+    /// Ends each connection with its next answer.
+    fn leave(&self) {
+        // Its receivers are the listeners, which end with the process.
+        let _ = self.stage.send(door::Stage::Leaving);
+    }
+
     /// Takes no connections any more, and waits until those that are open have ended.
     async fn close(&self) {
-        // Its receivers are the listeners, which end with the process.
         let _ = self.stage.send(door::Stage::Closing);
         while self.callers.count() + self.operators.count() > 0 {
             time::sleep(POLL).await;
@@ -85,6 +90,7 @@
     let lifetime = node.lifetime();
     lifetime.end_by(began + grace.saturating_sub(RESERVE + DELIVERY));
     node.drain();
+    doors.leave();
     if let Some(control) = node.control().cloned() {
         tokio::spawn(async move { control.hand_over(HAND_OVER).await });
     }
