--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -13,7 +13,6 @@
 use rand::Rng as _;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use wigeonbarrow::control::consensus;
 use wigeonbarrow::control::consensus::Standing;
 use wigeonbarrow::control::log;
 use wigeonbarrow::control::member::Member;
@@ -22,14 +21,17 @@
 use wigeonbarrow::control::replica::Replica;
 use wigeonbarrow::wire::agree::Command;
 use wigeonbarrow::wire::agree::Verdict;
-use wigeonbarrow::wire::id;
 
+#[path = "client.rs"]
+mod client;
 #[path = "disk.rs"]
 pub mod disk;
 #[path = "fault.rs"]
 pub mod fault;
 #[path = "judge.rs"]
 mod judge;
+#[path = "vms.rs"]
+mod vms;
 
 use disk::Disk;
 use fault::Fault;
@@ -217,116 +219,6 @@
         self.now * vm.rate / 100 + vm.jump
     }
 
-    /// Starts the process on a VM, from what its disk holds. A disk that must be refused is
-    /// replaced by an empty one, as an operator would.
-    pub fn start(&mut self, at: usize) {
-        if self.vms[at].replica.is_some() || self.vms[at].gone {
-            return;
-        }
-        if self.vms[at].disk.is_rotten() {
-            assert!(self.vms[at].disk.scan().is_err(), "a rotten log was used");
-            self.lose_disk(at);
-        }
-        let addr = self.vms[at].addr;
-        self.lives += 1;
-        let me = Member {
-            addr,
-            life: id::Incarnation(self.lives),
-        };
-        let (me, saved) = self.vms[at].disk.open(me);
-        let (founders, admission) = match self.open {
-            Some((founders, least)) => (founders, consensus::Admission::Open { least }),
-            None => (self.vms.len(), consensus::Admission::Ordered),
-        };
-        let settings = consensus::Settings {
-            me,
-            listed: self.vms[..founders].iter().map(|vm| vm.addr).collect(),
-            seed: self.rng.random(),
-            timing: consensus::Timing::default(),
-            founds: self.open.is_none() || self.lives <= founders as u64,
-            admission,
-        };
-        let replica = Replica::new(self.local(at), settings, saved);
-        let mut replica = replica.expect("the snapshot decodes");
-        replica.compact_each(self.compact);
-        if self.open.is_some() {
-            // As the processes' greetings do: all learn of whoever comes.
-            let addrs: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.addr).collect();
-            let others = self.vms.iter_mut().filter_map(|vm| vm.replica.as_mut());
-            others.for_each(|other| other.know(addrs.clone(), None));
-            replica.know(addrs, None);
-        }
-        let vm = &mut self.vms[at];
-        vm.epoch += 1;
-        vm.writing = false;
-        vm.commit = replica.raft().commit();
-        vm.applied = replica.applied();
-        vm.revision = 0;
-        vm.replica = Some(replica);
-        let epoch = vm.epoch;
-        self.after(ms(1), What::Tick(at, epoch));
-    }
-
-    /// Ends the process on a VM. `tail`: bytes of what it was writing that reach the disk.
-    pub fn kill(&mut self, at: usize, tail: disk::Tail) {
-        let cut = self.rng.random_range(0.0..1.0);
-        let vm = &mut self.vms[at];
-        vm.replica = None;
-        vm.epoch += 1;
-        vm.frozen = false;
-        vm.backlog.clear();
-        vm.disk.crash(tail, cut);
-    }
-
-    pub fn lose_for_good(&mut self, at: usize) {
-        self.kill(at, disk::Tail::Lost);
-        self.lose_disk(at);
-        self.vms[at].gone = true;
-    }
-
-    pub fn lose_disk(&mut self, at: usize) {
-        let disk = std::mem::take(&mut self.vms[at].disk);
-        self.lost.push(disk);
-    }
-
-    pub fn restart_after(&mut self, at: usize, delay: Duration) {
-        self.after(delay, What::Restart(at));
-    }
-
-    pub fn heal_after(&mut self, delay: Duration) {
-        self.busy = true;
-        self.after(delay, What::Heal);
-    }
-
-    fn heal(&mut self) {
-        self.busy = false;
-        self.net = Net::default();
-        for at in 0..self.vms.len() {
-            self.vms[at].disk.full = false;
-            self.thaw(at);
-            self.start(at);
-        }
-    }
-
-    pub fn thaw(&mut self, at: usize) {
-        self.vms[at].frozen = false;
-        for what in std::mem::take(&mut self.vms[at].backlog) {
-            self.after(Duration::ZERO, what);
-        }
-    }
-
-    pub fn jump(&mut self, at: usize, by: Duration) {
-        self.vms[at].jump += by;
-    }
-
-    pub fn set_rate(&mut self, at: usize, percent: u32) {
-        // The clock goes on from where it stands.
-        let before = self.local(at);
-        self.vms[at].rate = percent;
-        let after = self.local(at);
-        self.vms[at].jump += before.saturating_sub(after);
-    }
-
     pub fn leader(&self) -> Option<usize> {
         let leads = |vm: &Vm| {
             let replica = vm.replica.as_ref()?;
@@ -602,75 +494,4 @@
         let jitter = self.net.jitter.as_micros() as u64;
         Duration::from_micros(self.rng.random_range(1_000..=2_000 + jitter))
     }
-
-    fn ask(&mut self, client: usize) {
-        if self.clients[client].left.is_empty() {
-            return;
-        }
-        self.clients[client].floor = self.acknowledged;
-        self.resend(client, self.clients[client].token);
-    }
-
-    fn resend(&mut self, client: usize, token: u64) {
-        let one = &mut self.clients[client];
-        if one.token != token {
-            return;
-        }
-        let Some(command) = one.left.front().cloned() else {
-            return;
-        };
-        // Tokens name their client; each try has its own.
-        one.token += 1;
-        let token = one.token;
-        one.asked += 1;
-        let vms = self.vms.len();
-        // As the edge does: to the leader that the asked one knows, else it decides itself.
-        let asked = (one.asked + client) % vms;
-        let leader = self.vms[asked].replica.as_ref();
-        let leader = leader.and_then(|one| one.raft().leader());
-        let leader = leader.and_then(|one| self.vms.iter().position(|vm| vm.addr == one.addr));
-        let at = leader.unwrap_or(asked);
-        self.after(RESEND, What::Resend(client, token));
-        if self.vms[at].frozen {
-            return;
-        }
-        let now = self.local(at);
-        let name = (client as u64) << 32 | token;
-        self.with(at, |replica| replica.propose(now, 0, name, command));
-    }
-
-    fn answer(&mut self, name: u64, verdict: Verdict) {
-        let client = (name >> 32) as usize;
-        if verdict == Verdict::Unavailable {
-            return;
-        }
-        let Some(command) = self.clients[client].left.front().cloned() else {
-            return;
-        };
-        if u64::from(name as u32) != self.clients[client].token {
-            return;
-        }
-        let index = self.index_of(&command);
-        let index = index.expect("a verdict on something that is not in the log");
-        self.acknowledged = self.acknowledged.max(index);
-        let one = &mut self.clients[client];
-        one.token += 1;
-        one.left.pop_front();
-        let floor = one.floor;
-        self.done.push(Done {
-            client,
-            command,
-            verdict,
-            floor,
-        });
-        self.after(ms(2), What::Ask(client));
-    }
-
-    fn index_of(&self, wanted: &Command) -> Option<u64> {
-        let found = self.truth.values().find(|entry| match &entry.payload {
-            log::Payload::Command { command, .. } => command == wanted,
-            _ => false,
-        });
-        found.map(|entry| entry.index)
-    }
 }
--- /dev/null
+++ b/tests/common/vms.rs
@@ -0,0 +1,128 @@
+//! Processes in memory that start and end, and their disks and clocks.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rand::Rng as _;
+use wigeonbarrow::control::consensus;
+use wigeonbarrow::control::member::Member;
+use wigeonbarrow::control::replica::Replica;
+use wigeonbarrow::wire::id;
+
+use super::Net;
+use super::Sim;
+use super::What;
+use super::disk;
+use super::ms;
+
+impl Sim {
+    /// Starts the process on a VM, from what its disk holds. A disk that must be refused is
+    /// replaced by an empty one, as an operator would.
+    pub fn start(&mut self, at: usize) {
+        if self.vms[at].replica.is_some() || self.vms[at].gone {
+            return;
+        }
+        if self.vms[at].disk.is_rotten() {
+            assert!(self.vms[at].disk.scan().is_err(), "a rotten log was used");
+            self.lose_disk(at);
+        }
+        let addr = self.vms[at].addr;
+        self.lives += 1;
+        let me = Member {
+            addr,
+            life: id::Incarnation(self.lives),
+        };
+        let (me, saved) = self.vms[at].disk.open(me);
+        let (founders, admission) = match self.open {
+            Some((founders, least)) => (founders, consensus::Admission::Open { least }),
+            None => (self.vms.len(), consensus::Admission::Ordered),
+        };
+        let settings = consensus::Settings {
+            me,
+            listed: self.vms[..founders].iter().map(|vm| vm.addr).collect(),
+            seed: self.rng.random(),
+            timing: consensus::Timing::default(),
+            founds: self.open.is_none() || self.lives <= founders as u64,
+            admission,
+        };
+        let replica = Replica::new(self.local(at), settings, saved);
+        let mut replica = replica.expect("the snapshot decodes");
+        replica.compact_each(self.compact);
+        if self.open.is_some() {
+            // As the processes' greetings do: all learn of whoever comes.
+            let addrs: Vec<SocketAddr> = self.vms.iter().map(|vm| vm.addr).collect();
+            let others = self.vms.iter_mut().filter_map(|vm| vm.replica.as_mut());
+            others.for_each(|other| other.know(addrs.clone(), None));
+            replica.know(addrs, None);
+        }
+        let vm = &mut self.vms[at];
+        vm.epoch += 1;
+        vm.writing = false;
+        vm.commit = replica.raft().commit();
+        vm.applied = replica.applied();
+        vm.revision = 0;
+        vm.replica = Some(replica);
+        let epoch = vm.epoch;
+        self.after(ms(1), What::Tick(at, epoch));
+    }
+
+    /// Ends the process on a VM. `tail`: bytes of what it was writing that reach the disk.
+    pub fn kill(&mut self, at: usize, tail: disk::Tail) {
+        let cut = self.rng.random_range(0.0..1.0);
+        let vm = &mut self.vms[at];
+        vm.replica = None;
+        vm.epoch += 1;
+        vm.frozen = false;
+        vm.backlog.clear();
+        vm.disk.crash(tail, cut);
+    }
+
+    pub fn lose_for_good(&mut self, at: usize) {
+        self.kill(at, disk::Tail::Lost);
+        self.lose_disk(at);
+        self.vms[at].gone = true;
+    }
+
+    pub fn lose_disk(&mut self, at: usize) {
+        let disk = std::mem::take(&mut self.vms[at].disk);
+        self.lost.push(disk);
+    }
+
+    pub fn restart_after(&mut self, at: usize, delay: Duration) {
+        self.after(delay, What::Restart(at));
+    }
+
+    pub fn heal_after(&mut self, delay: Duration) {
+        self.busy = true;
+        self.after(delay, What::Heal);
+    }
+
+    pub(super) fn heal(&mut self) {
+        self.busy = false;
+        self.net = Net::default();
+        for at in 0..self.vms.len() {
+            self.vms[at].disk.full = false;
+            self.thaw(at);
+            self.start(at);
+        }
+    }
+
+    pub fn thaw(&mut self, at: usize) {
+        self.vms[at].frozen = false;
+        for what in std::mem::take(&mut self.vms[at].backlog) {
+            self.after(Duration::ZERO, what);
+        }
+    }
+
+    pub fn jump(&mut self, at: usize, by: Duration) {
+        self.vms[at].jump += by;
+    }
+
+    pub fn set_rate(&mut self, at: usize, percent: u32) {
+        // The clock goes on from where it stands.
+        let before = self.local(at);
+        self.vms[at].rate = percent;
+        let after = self.local(at);
+        self.vms[at].jump += before.saturating_sub(after);
+    }
+}
