--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -96,6 +96,7 @@
         course.past.tried += 1;
         let hopeless = self.hopeless(course, chosen.first_ms, after);
         let outcome = tokio::select! {
+            biased;
             outcome = self.attempt_at(course, chosen, after) => outcome,
             () = hopeless => Err(course.end_here().into()),
         };
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -91,6 +91,7 @@
         let mut span = span::Span::new(self, &ask.id);
         let lifetime = self.node.lifetime();
         let admitted = tokio::select! {
+            biased;
             admitted = self.admit(ask, head, body, span.progress()) => admitted,
             () = lifetime.over() => Err(Denied::new(StatusCode::SERVICE_UNAVAILABLE, ENDS)),
         };
@@ -202,7 +203,9 @@
         self.state().budget.request(now, &course.service);
         let end = time::Instant::from_std(course.end);
         let lifetime = course.lifetime.clone();
+        // An answer that is there is passed on, whatever the time.
         let got = tokio::select! {
+            biased;
             got = time::timeout_at(end, self.pursue(&mut course, None)) => got,
             () = lifetime.over() => Ok(Err(course.end_here().into())),
         };
@@ -373,6 +376,7 @@
         let end = time::Instant::from_std(course.end);
         let lifetime = course.lifetime.clone();
         tokio::select! {
+            biased;
             resumed = time::timeout_at(end, self.resume(course, reader, lost, after)) => {
                 resumed.ok().flatten()
             }
