Relays: all of a small zone, two while processes join

And in memory one of 39,800 pairs of processes was unknown for over 2 s after a start of all, since a report through one relay is lost twice as often as a greeting. Change: in a zone under 16 all are relays, as before; while a process has joined in the last 2 s, reports go through two relays of each zone. A heartbeat of a warm server costs no hash while no server is cold.

--- a/src/direct/membership.rs
+++ b/src/direct/membership.rs
@@ -169,6 +169,13 @@
         self.known.get(addr).is_some_and(|known| known.batches)
     }
 
+    /// Whether a process has joined recently. Until it is known everywhere, a report that is lost leaves
+    /// it unknown to some, or some unknown to it.
+    pub fn has_new(&self, now: Duration) -> bool {
+        let mut running = self.known.values().filter(|known| !known.gone);
+        running.any(|known| now < known.since + NEW_FOR)
+    }
+
     /// Whether a process is known and not gone.
     fn is_running(&self, addr: &SocketAddr) -> bool {
         self.known.get(addr).is_some_and(|known| !known.gone)
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -11,11 +11,12 @@
 
 use super::gossip;
 
-/// The own zone is sent to through relays if it has at least this many processes.
+/// The own zone is sent to through relays if it has at least this many processes. In a smaller one
+/// all are relays: what is sent through one that has just died is lost until it counts as gone.
 const MIN_RELAYED: usize = 16;
 
-/// A zone has one relay for this many processes, and at least two. With fewer relays each of them
-/// sends more, and the link of a small VM is soon full.
+/// A larger zone has one relay for this many processes. With fewer relays each of them sends more,
+/// and the link of a small VM is soon full.
 const PROCESSES_PER_RELAY: usize = 4;
 
 /// Where this process sends messages for all others, and what it forwards as a relay.
@@ -50,7 +51,11 @@
                 plan.direct.append(&mut addrs);
                 continue;
             }
-            let relays = addrs.len().div_ceil(PROCESSES_PER_RELAY).max(2);
+            let relays = if addrs.len() < MIN_RELAYED {
+                addrs.len()
+            } else {
+                addrs.len().div_ceil(PROCESSES_PER_RELAY)
+            };
             addrs.sort_by_cached_key(|addr| (rank(*addr), *addr));
             addrs.truncate(relays);
             // Each process begins with another relay, so that they share the load evenly.
@@ -66,13 +71,16 @@
         &self.direct
     }
 
-    /// Relays of the message with number `turn`, one for each zone. They take turns, so that one that
-    /// has just died loses only some messages.
-    pub fn relays(&self, turn: u64) -> Vec<SocketAddr> {
-        let relays = self.relays.iter();
-        relays
-            .map(|zone| zone[turn as usize % zone.len()])
-            .collect()
+    /// Relays of the message with number `turn`, one for each zone, or two if `doubled` and there are as
+    /// many. They take turns, so that one that has just died loses only some messages.
+    pub fn relays(&self, turn: u64, doubled: bool) -> Vec<SocketAddr> {
+        let copies = if doubled { 2 } else { 1 };
+        let of_zone = |zone: &Vec<SocketAddr>| -> Vec<SocketAddr> {
+            let first = turn as usize % zone.len();
+            let relays = zone.iter().cycle().skip(first);
+            relays.take(copies.min(zone.len())).copied().collect()
+        };
+        self.relays.iter().flat_map(of_zone).collect()
     }
 
     /// The other processes of the own zone, to which a relay forwards.
--- a/src/edge/direct/heartbeat.rs
+++ b/src/edge/direct/heartbeat.rs
@@ -1,5 +1,7 @@
 //! Heartbeats of backend servers, and what entries observe of their failures.
 
+use std::time::Duration;
+
 use super::Direct;
 use crate::direct::gossip;
 use crate::direct::load;
@@ -47,10 +49,13 @@
     pub(super) fn record_messages(&self, records: Vec<register::Record>) -> Vec<gossip::Message> {
         let now = self.node.now();
         let state = self.state();
+        let is_none_cold = state.quotas.is_empty(now);
         gossip::record_messages(records, |record| {
-            state
-                .quotas
-                .cold_remaining(now, load::server_key(&record.life))
+            if is_none_cold {
+                return Duration::ZERO;
+            }
+            let key = load::server_key(&record.life);
+            state.quotas.cold_remaining(now, key)
         })
     }
 
@@ -99,8 +104,11 @@
         };
         let cold_rate = cold_rate.map(|rate| rate.while_cold(self.settings.cold_overshoot));
         let mut cooled = false;
+        // With neither, there is nothing to note: a key is hashed, and most heartbeats are such.
+        let may_matter = !cold.is_zero() || !state.quotas.is_empty(now);
         if let Some(rate) = cold_rate
             && update != register::Update::Stale
+            && may_matter
         {
             let key = load::server_key(&record.life);
             cooled = state.quotas.set_cold(now, key, record.seq, cold, rate);
--- a/src/edge/direct/mesh/send.rs
+++ b/src/edge/direct/mesh/send.rs
@@ -27,7 +27,9 @@
         };
         self.send_datagram(&datagram, self.plan.direct());
         datagram.relay = true;
-        self.send_datagram(&datagram, &self.plan.relays(self.seq));
+        let doubled = self.direct.membership().has_new(self.direct.node.now());
+        let relays = self.plan.relays(self.seq, doubled);
+        self.send_datagram(&datagram, &relays);
     }
 
     fn update_plan(&mut self) {
