Relays: half of a zone, each process doubles only its own first reports

Relays, a quarter of a zone, then sent 2.5 MB a second, all that a link of 20 Mbit/s carries; datagrams of the configuration waited behind. Change: half of a zone are relays, so that each sends twice what a process receives; a process doubles its own reports in its first 2 s only; relays are taken by turns of what goes to all, not of every datagram. A process that went silent and comes back is not listed as new: it is known everywhere.

--- a/src/direct/membership.rs
+++ b/src/direct/membership.rs
@@ -50,7 +50,7 @@
 struct Known {
     /// What it reports about itself.
     peer: gossip::Peer,
-    /// When it was first heard from, or heard from again after it was gone.
+    /// When this run of it was first heard from.
     since: Duration,
     /// When it was last heard from.
     heard_at: Duration,
@@ -77,7 +77,8 @@
     pub fn observe(&mut self, now: Duration, peer: &gossip::Peer) -> bool {
         self.reported.remove(&peer.link);
         let before = self.known.get(&peer.link);
-        let before = before.filter(|known| !known.gone && known.peer.life == peer.life);
+        let before = before.filter(|known| known.peer.life == peer.life);
+        // One that went silent and comes back is known everywhere, and need not be listed as new.
         let known = Known {
             peer: peer.clone(),
             since: before.map_or(now, |known| known.since),
@@ -85,7 +86,7 @@
             gone: false,
             batches: before.is_some_and(|known| known.batches),
         };
-        let is_new = before.is_none();
+        let is_new = before.is_none_or(|known| known.gone);
         self.known.insert(peer.link, known);
         is_new
     }
@@ -169,13 +170,6 @@
         self.known.get(addr).is_some_and(|known| known.batches)
     }
 
-    /// Whether a process has joined recently. Until it is known everywhere, a report that is lost leaves
-    /// it unknown to some, or some unknown to it.
-    pub fn has_new(&self, now: Duration) -> bool {
-        let mut running = self.known.values().filter(|known| !known.gone);
-        running.any(|known| now < known.since + NEW_FOR)
-    }
-
     /// Whether a process is known and not gone.
     fn is_running(&self, addr: &SocketAddr) -> bool {
         self.known.get(addr).is_some_and(|known| !known.gone)
--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -15,9 +15,9 @@
 /// all are relays: what is sent through one that has just died is lost until it counts as gone.
 const MIN_RELAYED: usize = 16;
 
-/// A larger zone has one relay for this many processes. With fewer relays each of them sends more,
-/// and the link of a small VM is soon full.
-const PROCESSES_PER_RELAY: usize = 4;
+/// A larger zone has one relay for this many processes: each relay sends this many times what a process
+/// receives. With few relays, the links of small VMs fill up, and callers there wait.
+const PROCESSES_PER_RELAY: usize = 2;
 
 /// Where this process sends messages for all others, and what it forwards as a relay.
 #[derive(Clone, Debug, Default)]
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -88,8 +88,9 @@
     loads_whole: bool,
     /// Tracks the loads last reported.
     reporter: reporter::Reporter,
-    /// Whom messages for all processes are sent to.
+    /// Whom messages for all processes are sent to, and their number so far.
     plan: spread::Plan,
+    turn: u64,
     planned_at: Duration,
     /// Whether processes joined or left since the plan was made.
     plan_outdated: bool,
@@ -113,6 +114,7 @@
         loads_whole: true,
         reporter: reporter::Reporter::default(),
         plan: spread::Plan::default(),
+        turn: 0,
         planned_at: Duration::ZERO,
         plan_outdated: true,
         batch: Vec::new(),
--- a/src/edge/direct/mesh/send.rs
+++ b/src/edge/direct/mesh/send.rs
@@ -14,6 +14,10 @@
 /// change the plan.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time from its start for which a process sends through two relays of each zone. Until all know it, a
+/// report that is lost leaves it unknown to a zone.
+const JOINING_FOR: Duration = Duration::from_secs(2);
+
 impl Mesh {
     /// Sends to all processes, some of them through relays.
     pub(super) fn send_to_all(&mut self, message: gossip::Message) {
@@ -27,8 +31,9 @@
         };
         self.send_datagram(&datagram, self.plan.direct());
         datagram.relay = true;
-        let doubled = self.direct.membership().has_new(self.direct.node.now());
-        let relays = self.plan.relays(self.seq, doubled);
+        self.turn += 1;
+        let is_joining = self.direct.node.now() < JOINING_FOR;
+        let relays = self.plan.relays(self.turn, is_joining);
         self.send_datagram(&datagram, &relays);
     }
 
