--- a/src/cmd/zone.rs
+++ b/src/cmd/zone.rs
@@ -29,13 +29,21 @@
 
 pub fn run(name: &str, matches: &ArgMatches) -> Result<(), util::Error> {
     let client = util::Client::new(matches)?;
-    let evacuations: agree::Evacuations = if name == "list" {
+    let verdict = if name == "list" {
         client.get("/admin/v1/zones")?
     } else {
         let zone = matches.get_one::<String>("zone");
         let zone = zone.map_or("", String::as_str);
         client.post(&format!("/admin/v1/zones/{zone}/{name}"), &())?
     };
+    let evacuations = match verdict {
+        agree::Verdict::Evacuations(evacuations) => evacuations,
+        agree::Verdict::Invalid(findings) => return Err(util::Error::Findings(findings)),
+        _ => {
+            let text = "no quorum answered in time; the same order may be sent again";
+            return Err(util::Error::Unknown(text.to_owned()));
+        }
+    };
     if util::is_json(matches) {
         return util::print_json(&evacuations);
     }
--- a/src/edge/direct/heartbeat.rs
+++ b/src/edge/direct/heartbeat.rs
@@ -104,7 +104,7 @@
         };
         let cold_rate = cold_rate.map(|rate| rate.while_cold(self.settings.cold_overshoot));
         let mut cooled = false;
-        // With neither, there is nothing to note: a key is hashed, and most heartbeats are such.
+        // Hashing the key of each warm server would cost more than the rest of its heartbeat.
         let may_matter = !cold.is_zero() || !state.quotas.is_empty(now);
         if let Some(rate) = cold_rate
             && update != register::Update::Stale
--- a/src/edge/http/admin.rs
+++ b/src/edge/http/admin.rs
@@ -290,7 +290,7 @@
     propose_evacuation(front, agree::Command::Evacuations).await
 }
 
-/// Evacuates a zone: its backend servers get no new work. Returns the evacuated zones.
+/// Evacuates a zone: its backend servers get no new work. Returns the verdict with the evacuated zones.
 #[rocket::post("/zones/<zone>/evacuate")]
 async fn evacuate_zone(
     front: &rocket::State<Arc<Front>>,
@@ -306,7 +306,7 @@
     propose_evacuation(front, agree::Command::Evacuate { zone, evacuated }).await
 }
 
-/// Withdraws the evacuation of a zone. Returns the evacuated zones.
+/// Withdraws the evacuation of a zone. Returns the verdict with the evacuated zones.
 #[rocket::post("/zones/<zone>/restore")]
 async fn restore_zone(
     front: &rocket::State<Arc<Front>>,
@@ -319,19 +319,11 @@
 }
 
 async fn propose_evacuation(front: &Front, command: agree::Command) -> Json {
-    match front.node().propose(command, CHANGE_TIMEOUT).await {
-        agree::Verdict::Evacuations(evacuations) => {
-            front.node().evacuations().install(evacuations.clone());
-            json(&evacuations)
-        }
-        agree::Verdict::Invalid(findings) => Err(answer::Error::bad_request(&findings.join("; "))),
-        _ => {
-            let text = "no quorum of control answered in time; the order may be sent again";
-            let cause = outcome::Cause::NoQuorum;
-            let failure = outcome::Failure::not_run(cause, Some(BUSY_RETRY_MS), text);
-            Err(answer::Error::new(failure))
-        }
+    let verdict = front.node().propose(command, CHANGE_TIMEOUT).await;
+    if let agree::Verdict::Evacuations(evacuations) = &verdict {
+        front.node().evacuations().install(evacuations.clone());
     }
+    json(&verdict)
 }
 
 /// Whether a process or a backend server in this zone is known here.
