Plain wording of six comments

Cause: comments of the backlog, the deadline, the configuration store and the news between processes read oddly. Change: the same said in the field's terms. Comments only.

--- a/src/direct/backlog.rs
+++ b/src/direct/backlog.rs
@@ -9,8 +9,8 @@
 
 /// Reading work given to a server that is not yet done.
 ///
-/// A server does one thing after the other, whoever gave it, so what is left shrinks with time and
-/// does not depend on the order.
+/// A server processes the work of all entries one item after the other, so what is left shrinks with
+/// time and does not depend on the order.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Backlog {
     ms: f64,
--- a/src/direct/deadline.rs
+++ b/src/direct/deadline.rs
@@ -129,8 +129,8 @@
         !place::is_long(engine, need) && self.until_abandoned > MIN_HOLD_LEFT
     }
 
-    /// How long a request may wait until a server that has a limit takes it. As a rule this keeps
-    /// the request on time; where that is hardly possible, it may be a little late.
+    /// How long a request may wait until a server that has a limit takes it: half of the time left
+    /// within its objective, or an eighth of the time until its caller abandons it if that is longer.
     pub fn grant_timeout(&self) -> Duration {
         let on_time = self.objective.saturating_sub(self.waited) / 2;
         on_time.max(self.until_abandoned / GRANT_DIVISOR)
--- a/src/edge/conf.rs
+++ b/src/edge/conf.rs
@@ -1,7 +1,7 @@
 //! The configurations that a process holds, and how it follows newer ones.
 //!
 //! Only a higher revision installs, so what is in force never reverts. The last few folders are
-//! kept so that whoever is a little behind gets a delta, and others a snapshot.
+//! kept so that a process that is a few revisions behind gets a delta, and others a snapshot.
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
@@ -180,8 +180,8 @@
     }
 }
 
-/// Follows newer configurations: asks one source at a time and holds the question there, and
-/// asks whoever is known to have a newer one at once.
+/// Follows newer configurations: sends a long-polling request to one source at a time, and
+/// asks a process at once if it is known to have a newer one.
 pub async fn follow(node: Arc<node::Node>, sources: impl Fn() -> Vec<SocketAddr>) {
     let mut turn = rand::random_range(0..1_024_usize);
     loop {
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -88,8 +88,9 @@
     loads_whole: bool,
     /// Tracks the loads last reported.
     reporter: reporter::Reporter,
-    /// Whom messages for all processes are sent to, and their number so far.
+    /// The targets and relays of messages for all processes.
     plan: spread::Plan,
+    /// Number of messages sent to all processes.
     turn: u64,
     planned_at: Duration,
     /// Whether processes joined or left since the plan was made.
--- a/src/edge/direct/mesh/send.rs
+++ b/src/edge/direct/mesh/send.rs
@@ -10,8 +10,8 @@
 /// Time for which a relay gathers datagrams before it forwards them.
 const BATCH_DELAY: Duration = Duration::from_millis(100);
 
-/// Least time between two plans of whom to send to. While many processes join, each of them would
-/// change the plan.
+/// Least time between two updates of the plan. While many processes join, each of them would cause
+/// one.
 const PLAN_PAUSE: Duration = Duration::from_millis(100);
 
 /// Time from its start for which a process sends through two relays of each zone. Until all know it, a
