Report pause by the plan; orders on zones proposed in one place

Cause: a cap of 58 ms on the pause between load reports stood on top of the mechanism that bounds their rate, and took that bound away above a hundred processes. Proposing an order on a zone and putting it in force stood twice. Change: the plan tells the pause, 0.5 ms for a process that gets datagrams of its own and 0.1 ms for one that gets batches: 2,000 and 10,000 reports a second at the most, whatever the number of processes; 55 ms at 474 of them, as before for zones under 16. Node::propose_evacuation serves both interfaces.

--- a/src/direct/spread.rs
+++ b/src/direct/spread.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::net::IpAddr;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use super::gossip;
 
@@ -19,6 +20,16 @@
 /// receives. With few relays, the links of small VMs fill up, and callers there wait.
 const PROCESSES_PER_RELAY: usize = 2;
 
+/// Least time between two load reports. A view of the load that old delays a request by less than one
+/// pass of an engine.
+const REPORT_PAUSE: Duration = Duration::from_millis(8);
+
+/// Additions to [`REPORT_PAUSE`] for each process that receives the reports, in datagrams of their own
+/// and in batches. They bound what a process receives under any load: 2,000 datagrams, or 10,000
+/// reports in batches, a second.
+const REPORT_PAUSE_EACH: Duration = Duration::from_micros(500);
+const REPORT_PAUSE_BATCHED: Duration = Duration::from_micros(100);
+
 /// Where this process sends messages for all others, and what it forwards as a relay.
 #[derive(Clone, Debug, Default)]
 pub struct Plan {
@@ -28,6 +39,8 @@
     relays: Vec<Vec<SocketAddr>>,
     /// The other processes of the own zone.
     zone: Vec<SocketAddr>,
+    /// Least time between two load reports.
+    report_pause: Duration,
 }
 
 impl Plan {
@@ -41,8 +54,17 @@
         for peer in peers {
             zones.entry(&peer.zone).or_default().push(peer.link);
         }
-        let mut plan = Self::default();
+        let mut plan = Self {
+            report_pause: REPORT_PAUSE,
+            ..Self::default()
+        };
         for (name, mut addrs) in zones {
+            let each = if addrs.len() < MIN_RELAYED {
+                REPORT_PAUSE_EACH
+            } else {
+                REPORT_PAUSE_BATCHED
+            };
+            plan.report_pause += each * addrs.len() as u32;
             let is_own = name == zone;
             if is_own {
                 plan.zone.clone_from(&addrs);
@@ -83,6 +105,11 @@
         self.relays.iter().flat_map(of_zone).collect()
     }
 
+    /// Least time between two load reports.
+    pub fn report_pause(&self) -> Duration {
+        self.report_pause
+    }
+
     /// The other processes of the own zone, to which a relay forwards.
     pub fn zone(&self) -> &[SocketAddr] {
         &self.zone
--- a/src/edge/direct/evacuation.rs
+++ b/src/edge/direct/evacuation.rs
@@ -55,11 +55,9 @@
             zone: zone.to_owned(),
             evacuated,
         };
-        match self.node.propose(command, publish::QUORUM_TIMEOUT).await {
-            agree::Verdict::Evacuations(evacuations) => {
-                self.node.evacuations().install(evacuations);
-                Ok(())
-            }
+        let timeout = publish::QUORUM_TIMEOUT;
+        match self.node.propose_evacuation(command, timeout).await {
+            agree::Verdict::Evacuations(_) => Ok(()),
             agree::Verdict::Invalid(findings) => Err(Failure::Invalid(findings.join("; "))),
             _ => Err(Failure::Unknown),
         }
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -43,15 +43,6 @@
 /// heartbeats.
 const RECORD_AGE: Duration = Duration::from_millis(3_000);
 
-/// Least time between two load reports. A view of the load that old delays a request by less than
-/// one pass of an engine.
-const LOADS_PAUSE: Duration = Duration::from_millis(8);
-
-/// Addition to [`LOADS_PAUSE`] for each process that receives the reports, of at most
-/// [`MAX_PAUSE_PROCESSES`]: beyond that, they come in batches.
-const LOADS_PAUSE_EACH: Duration = Duration::from_micros(500);
-const MAX_PAUSE_PROCESSES: usize = 100;
-
 /// Delays after which a broadcast is sent, counted from when it was queued. It is repeated because
 /// datagrams get lost: if one in twenty is lost, all five are lost once in three million times.
 const REPEATS: [Duration; 5] = [
@@ -162,20 +153,15 @@
             .map(|repeat| repeat.queued_at + REPEATS[repeat.next]);
         let loads = self
             .loads_due
-            .then(|| self.loads_sent_at + self.loads_pause());
+            .then(|| self.loads_sent_at + self.plan.report_pause());
         let batch = (!self.batch.is_empty()).then_some(self.batch_due);
         let due = repeats.chain(loads).chain(batch).min();
         due.map_or(HELLO_PERIOD, |due| due.saturating_sub(now))
     }
 
-    fn loads_pause(&self) -> Duration {
-        let peers = self.direct.membership().len().min(MAX_PAUSE_PROCESSES);
-        LOADS_PAUSE + LOADS_PAUSE_EACH * peers as u32
-    }
-
     fn send_due(&mut self) {
         let now = self.direct.node.now();
-        if self.loads_due && now >= self.loads_sent_at + self.loads_pause() {
+        if self.loads_due && now >= self.loads_sent_at + self.plan.report_pause() {
             self.send_loads(now);
         }
         if !self.batch.is_empty() && now >= self.batch_due {
--- a/src/edge/header.rs
+++ b/src/edge/header.rs
@@ -22,8 +22,8 @@
     name == LENGTH || HOP.contains(&name)
 }
 
-/// Whether a header of an answer is not passed on. Its length is: whoever gets less of the body
-/// knows that it was cut.
+/// Whether a header of an answer is not passed on. Its length is passed on, so
+/// that a caller who gets less of the body knows that it was cut.
 pub fn stays_of_answer(name: &str) -> bool {
     HOP.contains(&name)
 }
--- a/src/edge/http/admin.rs
+++ b/src/edge/http/admin.rs
@@ -319,11 +319,8 @@
 }
 
 async fn propose_evacuation(front: &Front, command: agree::Command) -> Json {
-    let verdict = front.node().propose(command, CHANGE_TIMEOUT).await;
-    if let agree::Verdict::Evacuations(evacuations) = &verdict {
-        front.node().evacuations().install(evacuations.clone());
-    }
-    json(&verdict)
+    let node = front.node();
+    json(&node.propose_evacuation(command, CHANGE_TIMEOUT).await)
 }
 
 /// Whether a process or a backend server in this zone is known here.
--- a/src/edge/node.rs
+++ b/src/edge/node.rs
@@ -253,6 +253,19 @@
         verdict.unwrap_or(agree::Verdict::Unavailable)
     }
 
+    /// Proposes a command on evacuated zones. They are in force here once a quorum has stored it.
+    pub async fn propose_evacuation(
+        self: &Arc<Self>,
+        command: agree::Command,
+        timeout: Duration,
+    ) -> agree::Verdict {
+        let verdict = self.propose(command, timeout).await;
+        if let agree::Verdict::Evacuations(evacuations) = &verdict {
+            self.evacuations.install(evacuations.clone());
+        }
+        verdict
+    }
+
     /// Proposes a command without retries: to the control role of this process, or else to each
     /// control process in turn until one answers. `None`: none answered.
     pub(crate) async fn propose_once(
--- a/tests/news_spread.rs
+++ b/tests/news_spread.rs
@@ -147,6 +147,19 @@
     }
 }
 
+/// However many processes there are, what each of them receives under any load is bounded.
+#[test]
+fn report_rate_bounded() {
+    for sizes in [&[3, 3, 2][..], &[14; 5], &[95; 5], &[200; 5], &[250; 19]] {
+        let all = fleet(sizes);
+        let pause = plan(&all[0], &all).report_pause();
+        let rate = (all.len() - 1) as f64 / pause.as_secs_f64();
+        let is_batched = sizes[0] > 16;
+        let most = if is_batched { 10_000.0 } else { 2_000.0 };
+        assert!(rate <= most, "{sizes:?}: {rate} reports a second");
+    }
+}
+
 fn datagram(number: usize, news: Message) -> Datagram {
     Datagram {
         from: peer(number % 5, number),
