--- a/tests/entry_roster.rs
+++ b/tests/entry_roster.rs
@@ -363,9 +363,9 @@
             ratio < 4.0,
             "{count}: a relay sends {ratio} times what others receive"
         );
+        assert!(mean < 1_000.0, "{count}: {mean}");
         rates.push(mean);
     }
-    assert!(rates[2] < 1_000.0, "{rates:?}");
     assert!(rates[2] < rates[1] * 2.0, "{rates:?}");
 }
 
@@ -428,6 +428,25 @@
     }
 }
 
+/// When many join at once, each running process would send each of them the list of all.
+#[test]
+fn welcome_stays_small() {
+    for count in [20, 96, 97, 474, 1_000] {
+        let mut membership = Membership::default();
+        for index in 0..count {
+            membership.observe(Duration::ZERO, &peer(index, 1));
+        }
+        let listed = |pages: &[Vec<SocketAddr>]| -> usize { pages.iter().map(Vec::len).sum() };
+        let all = membership.welcome(true);
+        assert_eq!(listed(&all), count, "those that vote list all");
+        assert!(all.iter().all(|page| page.len() <= 96), "{count}");
+        let few = membership.welcome(false);
+        assert_eq!(few.len(), 1, "{count}");
+        let most = if count <= 96 { count } else { 8 };
+        assert_eq!(listed(&few), most, "{count}");
+    }
+}
+
 /// A leader that is gone is asked after the running voters while it is still known, so that requests
 /// don't wait for it.
 #[test]
