Stand-in: silence, reservations that expire, reserve orders carried out late

Change: Replica::silence stops all reading and writing for a time; reservations end unless renewed, from the time at which they were carried out; delay_reserves carries reserve orders out later and unanswered. An order that arrived is carried out even if its sender has closed its connection. No existing test asks for any of it.

--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -64,15 +64,27 @@
     Doubles,
 }
 
+/// Memory set aside under an id.
+#[derive(Clone, Copy, Debug)]
+struct Ticket {
+    tokens: u64,
+    /// When it ends unless it is renewed.
+    until: Instant,
+}
+
 #[derive(Debug, Default)]
 struct State {
     mood: Mood,
+    /// Until when it does nothing at all, and says nothing.
+    silent_until: Option<time::Instant>,
+    /// Delay after which reserve orders are carried out. They get no answer then.
+    reserve_delay: Option<Duration>,
     /// Requests a second that it takes from all, if it names a limit.
     limit: Option<f64>,
     /// When anything arrived: requests, questions and orders alike.
     arrivals: Vec<Instant>,
     ran: Vec<Request>,
-    tickets: BTreeMap<String, u64>,
+    tickets: BTreeMap<String, Ticket>,
 }
 
 /// A running stand-in.
@@ -127,6 +139,19 @@
         self.state.lock().expect("state lock").mood = mood;
     }
 
+    /// Falls silent for a time and goes on afterwards: it neither reads nor writes meanwhile, and
+    /// what arrives is served at the end. A time of zero ends the silence.
+    pub fn silence(&self, time: Duration) {
+        let until = time::Instant::now() + time;
+        self.state.lock().expect("state lock").silent_until = Some(until);
+    }
+
+    /// From now on reserve orders get no answer and are carried out after this delay. `None`: at
+    /// once, and answered.
+    pub fn delay_reserves(&self, delay: Option<Duration>) {
+        self.state.lock().expect("state lock").reserve_delay = delay;
+    }
+
     /// Names a limit in all answers from now on, or none.
     pub fn limit(&self, per_second: Option<f64>) {
         self.state.lock().expect("state lock").limit = per_second;
@@ -154,8 +179,10 @@
 
     /// Tokens set aside now.
     pub fn set_aside(&self) -> u64 {
+        let now = Instant::now();
         let state = self.state.lock().expect("state lock");
-        state.tickets.values().sum()
+        let held = state.tickets.values().filter(|ticket| ticket.until > now);
+        held.map(|ticket| ticket.tokens).sum()
     }
 }
 
@@ -185,10 +212,15 @@
         let (mut rx, mut tx) = tcp.split();
         let served = serve(&mut tx, &id, &state, &working, request);
         let mut probe = [0; 1];
+        let left = async {
+            // An error is the end of the connection as well.
+            let _ = rx.read(&mut probe).await;
+            awake(&state).await;
+        };
         let keep = tokio::select! {
             served = served => served.unwrap_or(false),
             // The caller has gone, or sends what nobody asked for.
-            _ = rx.read(&mut probe) => false,
+            () = left => false,
         };
         if !keep {
             return;
@@ -196,6 +228,17 @@
     }
 }
 
+/// Waits until it is not silent.
+async fn awake(state: &Mutex<State>) {
+    loop {
+        let until = state.lock().expect("state lock").silent_until;
+        match until {
+            Some(until) if until > time::Instant::now() => time::sleep_until(until).await,
+            _ => return,
+        }
+    }
+}
+
 /// Reads one request. `None`: the connection ended.
 async fn read(tcp: &mut TcpStream) -> Option<Request> {
     let mut head = Vec::new();
@@ -221,26 +264,30 @@
     })
 }
 
+/// Counts an arrival. Returns the header line of the limit that it names, if it names one.
+fn record_arrival(state: &Mutex<State>) -> String {
+    let mut state = state.lock().expect("state lock");
+    state.arrivals.push(Instant::now());
+    let named = state.limit.map(|one| format!("Server-Limit: {one}\r\n"));
+    named.unwrap_or_default()
+}
+
 async fn serve(
     tx: &mut (impl AsyncWriteExt + Unpin),
     id: &str,
-    state: &Mutex<State>,
+    state: &Arc<Mutex<State>>,
     working: &Arc<AtomicUsize>,
     request: Request,
 ) -> std::io::Result<bool> {
-    let limit = {
-        let mut state = state.lock().expect("state lock");
-        state.arrivals.push(Instant::now());
-        let named = state.limit.map(|one| format!("Server-Limit: {one}\r\n"));
-        named.unwrap_or_default()
-    };
+    if request.is("POST /v1/order") {
+        return order(tx, state, request).await;
+    }
+    awake(state).await;
+    let limit = record_arrival(state);
     if request.is("GET /v1/report") {
         let body = b"{\"queued\":0,\"active\":0,\"pace\":1.0}";
         return answer(tx, "200 OK", &limit, body).await;
     }
-    if request.is("POST /v1/order") {
-        return order(tx, state, &limit, &request).await;
-    }
     let echo = format!(
         "{limit}X-Request-Id: {}\r\n",
         request.header("x-request-id")
@@ -259,7 +306,7 @@
     match mood {
         Mood::Mute => std::future::pending().await,
         Mood::Breaks if !request.is("/stream/") => Ok(false),
-        _ if request.is("/stream/") => stream(tx, mood, &sealed, &request).await,
+        _ if request.is("/stream/") => stream(tx, state, mood, &sealed, &request).await,
         Mood::Doubles => {
             let other = "X-Request-Id: of-another\r\nX-Response-Seal: s\r\n";
             answer(tx, "200 OK", other, b"not yours").await
@@ -274,6 +321,7 @@
 
 async fn stream(
     tx: &mut (impl AsyncWriteExt + Unpin),
+    state: &Mutex<State>,
     mood: Mood,
     head: &str,
     request: &Request,
@@ -285,6 +333,7 @@
     let after: usize = request.header("last-event-id").parse().unwrap_or(0);
     for id in after + 1..=EVENTS {
         time::sleep(PAUSE).await;
+        awake(state).await;
         let event = format!("id: {id}\ndata: token {id}\n\n");
         if mood == Mood::Breaks && id == after + 6 {
             let half = &event[..event.len() / 2];
@@ -302,27 +351,43 @@
     Ok(true)
 }
 
+/// Carries an order out. One that has arrived is carried out even if its sender has gone.
 async fn order(
     tx: &mut (impl AsyncWriteExt + Unpin),
-    state: &Mutex<State>,
-    head: &str,
-    request: &Request,
+    state: &Arc<Mutex<State>>,
+    request: Request,
 ) -> std::io::Result<bool> {
     let order: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
+    let reserves = order["operation"] == "reserve";
+    let delay = state.lock().expect("state lock").reserve_delay;
+    let delay = delay.filter(|_| reserves);
+    let shared = Arc::clone(state);
+    let carried_out = tokio::spawn(async move {
+        time::sleep(delay.unwrap_or_default()).await;
+        awake(&shared).await;
+        carry_out(&shared, &order);
+    });
+    if delay.is_some() {
+        return std::future::pending().await;
+    }
+    carried_out.await.map_err(std::io::Error::other)?;
+    let head = record_arrival(state);
+    answer(tx, "200 OK", &head, b"{\"free_slots\":1}").await
+}
+
+fn carry_out(state: &Mutex<State>, order: &serde_json::Value) {
     let id = order["id"].as_str().unwrap_or_default().to_owned();
-    {
-        let mut state = state.lock().expect("state lock");
-        match order["operation"].as_str() {
-            Some("reserve") => {
-                let tokens = order["tokens"].as_u64().unwrap_or_default();
-                state.tickets.insert(id, tokens);
-            }
-            _ => {
-                state.tickets.remove(&id);
-            }
-        }
+    let mut state = state.lock().expect("state lock");
+    if order["operation"] != "reserve" {
+        state.tickets.remove(&id);
+        return;
     }
-    answer(tx, "200 OK", head, b"{\"free_slots\":1}").await
+    let hold = order["hold_ms"].as_u64().unwrap_or_default();
+    let ticket = Ticket {
+        tokens: order["tokens"].as_u64().unwrap_or_default(),
+        until: Instant::now() + Duration::from_millis(hold),
+    };
+    state.tickets.insert(id, ticket);
 }
 
 async fn answer(
