Log: requests that end beside a silent server name stage, server and reason

Callers saw: answers that broke off, or none at all, while their server was silent. The log could not tell how far a request was, which server it waited for, how long nothing had come from it, and why it did not go on elsewhere. Cause: 201, 204, 205 and 206 named no stage; 204 to 206 no server. The reason for which a stream was not resumed was dropped as `None`, and the decision to leave or to stay with a silent server had no line. Past the rate limit of the log, 206 lines were left out with their ids. Change: 201, 204, 205 and 206 bear the stage, 204 to 206 also the last server and the time left; 206 says why it was not resumed (cut::Reason), counted by direct_cut. Event 223 tells each decision on a silent server, with the time since anything of the response was read, the outcome of the last probe, and why it stays (retry::Denial). Ids of suppressed 206 lines are gathered, 64 to a line. retry::check takes the former tests of is_allowed in their order and names the one that denies, so no decision changes; may_move and should_move move to silence.rs.

--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -70,6 +70,37 @@
 /// Least time before the deadline for which another attempt is worthwhile.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
+/// Why a request is not sent again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denial {
+    /// Too little time is left until its deadline.
+    Time,
+    /// It was tried as often as any request may be.
+    Attempts,
+    /// No other attempt mends this failure.
+    Cause,
+    /// It may have run, and its route allows one run.
+    Unrepeatable,
+    /// It may have run on as many servers as its route allows.
+    Servers,
+    /// The retry budget of its service is spent.
+    Budget,
+}
+
+impl Denial {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Time => "time",
+            Self::Attempts => "attempts",
+            Self::Cause => "cause",
+            Self::Unrepeatable => "unrepeatable",
+            Self::Servers => "servers",
+            Self::Budget => "budget",
+        }
+    }
+}
+
 /// Whether a request is sent again after `failure`, with `left` until its deadline.
 pub fn is_allowed(
     route: &catalog::Route,
@@ -77,19 +108,38 @@
     history: History,
     left: Duration,
 ) -> bool {
-    if left < MIN_TIME_LEFT || history.tried >= MAX_ATTEMPTS {
-        return false;
+    check(route, failure, history, left).is_ok()
+}
+
+/// [`is_allowed`], with the reason if it is not. The retry budget is not asked.
+pub fn check(
+    route: &catalog::Route,
+    failure: &Failure,
+    history: History,
+    left: Duration,
+) -> Result<(), Denial> {
+    if left < MIN_TIME_LEFT {
+        return Err(Denial::Time);
+    }
+    if history.tried >= MAX_ATTEMPTS {
+        return Err(Denial::Attempts);
     }
     if matches!(
         failure,
         Failure::Away | Failure::Limited(_) | Failure::Excluded | Failure::Late | Failure::Ending
     ) {
-        return false;
+        return Err(Denial::Cause);
     }
     if failure.not_run() {
-        return true;
+        return Ok(());
+    }
+    if !route.repeatable() {
+        return Err(Denial::Unrepeatable);
+    }
+    if history.ran >= route.max_servers.max(1) {
+        return Err(Denial::Servers);
     }
-    route.repeatable() && history.ran < route.max_servers.max(1)
+    Ok(())
 }
 
 /// Whether `failure` makes all entries avoid the server at once.
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -35,6 +35,7 @@
 pub mod choose;
 pub mod context;
 pub mod count;
+pub mod cut;
 pub mod daemon;
 pub mod dialect;
 mod electorate;
@@ -47,11 +48,12 @@
 pub mod log_limit;
 pub mod mesh;
 pub mod pool;
-mod probe;
+pub mod probe;
 pub mod progress;
 pub mod publish;
 pub mod relay;
 pub mod reserve;
+pub mod silence;
 mod span;
 mod stop;
 pub mod stream;
@@ -124,6 +126,7 @@
     pool: pool::Pool,
     membership: Mutex<membership::Membership>,
     log_limiter: log_limit::Limiter,
+    cut_ids: cut::Gathered,
     counts: count::Counts,
     /// Requests in progress.
     progress: progress::Table,
@@ -169,6 +172,7 @@
             pool: pool::Pool::default(),
             membership: Mutex::default(),
             log_limiter: log_limit::Limiter::default(),
+            cut_ids: cut::Gathered::default(),
             counts: count::Counts::new(node.metrics()),
             progress: progress::Table::default(),
             loads_changed: Notify::new(),
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -18,6 +18,7 @@
 use super::pool;
 use super::progress;
 use super::reserve;
+use super::silence;
 use super::stream;
 use crate::direct::catalog;
 use crate::direct::deadline;
@@ -319,7 +320,8 @@
             };
         }
         let next = loop {
-            let may_leave = || self.may_move(context);
+            let server = reader.server.life.clone();
+            let may_leave = |silence| self.may_move(context, context.history, &server, silence);
             let got = time::timeout(
                 timeouts.move_after,
                 reader.next(timeouts.probe_after, may_leave),
@@ -327,7 +329,7 @@
             .await;
             match got {
                 Ok(next) => break next,
-                Err(_) if self.should_move(context, &reader.server.life) => {
+                Err(_) if self.should_move(context, &server, reader.silence()) => {
                     return Err(retry::Failure::Slow.into());
                 }
                 Err(_) => {}
@@ -355,6 +357,7 @@
         server: &register::Record,
         timeouts: deadline::Silence,
     ) -> Option<&'static str> {
+        let mut silence = silence::Silence::start();
         let hung = async {
             loop {
                 time::sleep(timeouts.move_after).await;
@@ -364,19 +367,14 @@
             }
         };
         let why = tokio::select! {
-            () = self.until_unresponsive(server, timeouts.probe_after) => SILENT,
+            () = self.until_unresponsive(server, timeouts.probe_after, &mut silence.probed) => SILENT,
             () = hung => HUNG,
         };
         // The request was sent, so this attempt may have run.
         let mut history = context.history;
         history.ran += 1;
-        let may = retry::is_allowed(
-            &context.route,
-            &retry::Failure::Slow,
-            history,
-            context.time_left(),
-        );
-        (may && self.spend_retry(&context.service)).then_some(why)
+        self.may_move(context, history, &server.life, silence)
+            .then_some(why)
     }
 
     /// Logs and counts a failed attempt, and updates the health of the servers at fault.
@@ -390,8 +388,9 @@
         self.counts
             .attempt_failed(&context.service, cause_name(cause));
         if self.log_limiter.allow(Event::AttemptEnded, now) {
+            let stage = context.progress.lock().stage.name();
             log_event!(self.node.log(), Event::AttemptEnded, "request" => &context.request.id,
-                "server" => &server.life, "end" => format!("{cause:?}"), "ran" => context.history.ran,
+                "server" => &server.life, "stage" => stage, "end" => format!("{cause:?}"), "ran" => context.history.ran,
                 "tried" => context.history.tried, "left_ms" => context.time_left().as_millis() as u64);
         }
         if retry::suspects_server(&context.route, cause) {
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -25,6 +25,12 @@
     outcome: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Cut {
+    service: String,
+    reason: String,
+}
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 struct Of {
     service: String,
@@ -46,6 +52,7 @@
     whole: Histograms,
     predicted: Histograms,
     attempts: family::Family<Ended, counter::Counter>,
+    cut: family::Family<Cut, counter::Counter>,
     running: gauge::Gauge,
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
@@ -73,6 +80,7 @@
             whole: family::Family::new_with_constructor(latencies as fn() -> _),
             predicted: family::Family::new_with_constructor(ratios as fn() -> _),
             attempts: family::Family::default(),
+            cut: family::Family::default(),
             running: gauge::Gauge::default(),
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
@@ -98,6 +106,11 @@
                 own.predicted,
             );
             sub.register("attempts", "Attempts that gave no answer", own.attempts);
+            sub.register(
+                "cut",
+                "Answers broken off, by why they were not resumed",
+                own.cut,
+            );
             sub.register(
                 "refused_heartbeats",
                 "Heartbeats that name no server to use",
@@ -203,6 +216,15 @@
         }
     }
 
+    /// An answer broke off and was not resumed, for this reason.
+    pub fn answer_cut(&self, service: &str, reason: &str) {
+        let label = Cut {
+            service: service.to_owned(),
+            reason: reason.to_owned(),
+        };
+        self.cut.get_or_create(&label).inc();
+    }
+
     /// An attempt ended without a response to pass on.
     pub fn attempt_failed(&self, service: &str, end: &str) {
         let label = Ended {
--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -253,6 +253,7 @@
 
 /// Logs how many lines of each event were suppressed.
 fn log_suppressed(direct: &Direct) {
+    direct.flush_cut_ids();
     for (number, count) in direct.log_limiter.take_suppressed() {
         log_event!(direct.node.log(), Event::LinesLeftOut, "of" => number, "count" => count);
     }
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -23,6 +23,29 @@
 /// Time from the end of one probe to the next.
 const PROBE_DELAY: Duration = Duration::from_millis(800);
 
+/// Outcome of the last probe of a server that a request waits for.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was not probed since anything came from it.
+    #[default]
+    None,
+    /// It answered.
+    Answered,
+    /// It did not answer in time.
+    Unanswered,
+}
+
+impl Outcome {
+    /// Name in the log.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Answered => "answered",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 impl Direct {
     /// Pauses the helper at address `at_fault`, which `server` names as the cause of its failure.
     /// Does nothing if the address is that of `server` itself.
@@ -72,14 +95,24 @@
         });
     }
 
-    /// Returns when the server does not respond to a probe. `quiet`: time before the first probe.
-    pub(super) async fn until_unresponsive(&self, server: &register::Record, quiet: Duration) {
+    /// Returns when the server does not respond to a probe. `quiet`: time before the first probe,
+    /// `last`: set to the outcome of each probe.
+    pub(super) async fn until_unresponsive(
+        &self,
+        server: &register::Record,
+        quiet: Duration,
+        last: &mut Outcome,
+    ) {
         time::sleep(quiet).await;
         // A server with a request limit is not probed: probes count against the limit.
         loop {
             let limited = self.state().is_limited(self.node.now(), &server.life);
-            if !limited && self.probe(server).await.is_none() {
-                return;
+            if !limited {
+                if self.probe(server).await.is_none() {
+                    *last = Outcome::Unanswered;
+                    return;
+                }
+                *last = Outcome::Answered;
             }
             time::sleep(PROBE_DELAY).await;
         }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -19,6 +19,7 @@
 use super::Direct;
 use super::attempt;
 use super::context::Context;
+use super::cut;
 use super::dialect;
 use super::listener;
 use super::progress;
@@ -27,7 +28,6 @@
 use crate::direct::catalog;
 use crate::direct::deadline;
 use crate::direct::home;
-use crate::direct::register;
 use crate::direct::retry;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -268,7 +268,7 @@
                 &failure.cause,
                 context.history,
                 context.time_left(),
-            ) && (is_free || self.spend_retry(&context.service));
+            ) && (is_free || self.spend_retry(&context.service).is_ok());
             if !may {
                 return Err(failure);
             }
@@ -280,24 +280,11 @@
     }
 
     /// Takes one retry from the budget of `service`, if it has one left.
-    pub(super) fn spend_retry(&self, service: &str) -> bool {
+    pub(super) fn spend_retry(&self, service: &str) -> Result<(), retry::Denial> {
         let now = self.node.now();
         let entries = self.entry_count();
-        self.state().budget.try_spend(now, service, entries)
-    }
-
-    /// Whether a request may leave the server that it waits for. Takes one retry from the budget if
-    /// so. Otherwise the request keeps waiting, as a response may still come.
-    pub(super) fn may_move(&self, context: &Context) -> bool {
-        let cause = retry::Failure::Slow;
-        retry::is_allowed(&context.route, &cause, context.history, context.time_left())
-            && self.spend_retry(&context.service)
-    }
-
-    /// Whether a request leaves a slow server for a better one. Takes one retry from the budget if
-    /// so.
-    pub(super) fn should_move(&self, context: &Context, server: &register::Instance) -> bool {
-        self.has_better_server(context, server) && self.may_move(context)
+        let is_spent = self.state().budget.try_spend(now, service, entries);
+        is_spent.then_some(()).ok_or(retry::Denial::Budget)
     }
 
     /// Passes events on as they arrive. A stream that breaks off is resumed at another server.
@@ -320,7 +307,10 @@
             yield Ok(body::Frame::data(first.bytes));
             let deadline = time::Instant::from_std(context.deadline);
             loop {
-                let next = time::timeout_at(deadline, time::timeout(deadline::stall_timeout(&context.route), reader.next(deadline::PROBE_AFTER, || direct.may_move(&context))));
+                let server = reader.server.life.clone();
+                let may_leave = |silence| direct.may_move(&context, context.history, &server, silence);
+                let next = time::timeout(deadline::stall_timeout(&context.route), reader.next(deadline::PROBE_AFTER, may_leave));
+                let next = time::timeout_at(deadline, next);
                 let lost = match next.await {
                     Ok(Ok(stream::Next::Chunk(chunk))) => {
                         span.events_passed(chunk.events);
@@ -337,14 +327,15 @@
                         return;
                     }
                     Ok(Ok(stream::Next::Lost(cause))) => cause,
-                    Ok(Err(_)) if direct.should_move(&context, &reader.server.life) => {
+                    Ok(Err(_)) if direct.should_move(&context, &server, reader.silence()) => {
                         retry::Failure::Slow
                     }
                     Ok(Err(_)) => continue,
                     Err(_) => retry::Failure::Late,
                 };
                 let resumed = direct.resume_in_time(&mut context, &reader, &lost, after.as_deref());
-                if let Some((chunk, next)) = resumed.await {
+                match resumed.await {
+                    Ok((chunk, next)) => {
                         context.progress.reach(progress::Stage::Answering);
                         span.events_passed(chunk.events);
                         if chunk.last_id.is_some() {
@@ -352,10 +343,12 @@
                         }
                         reader = next;
                         yield Ok(body::Frame::data(chunk.bytes));
-                } else {
-                        span.cut(&lost);
+                    }
+                    Err(reason) => {
+                        span.cut(&lost, &reason);
                         yield Err(io::Error::other("the answer broke off"));
                         return;
+                    }
                 }
             }
         };
@@ -385,15 +378,15 @@
         reader: &stream::Reader,
         lost: &retry::Failure,
         after: Option<&str>,
-    ) -> Option<(stream::Chunk, Box<stream::Reader>)> {
+    ) -> Result<(stream::Chunk, Box<stream::Reader>), cut::Reason> {
         let deadline = time::Instant::from_std(context.deadline);
         let lifetime = context.lifetime.clone();
         tokio::select! {
             biased;
             resumed = time::timeout_at(deadline, self.resume(context, reader, lost, after)) => {
-                resumed.ok().flatten()
+                resumed.unwrap_or(Err(cut::Reason::Late))
             }
-            () = lifetime.expired() => None,
+            () = lifetime.expired() => Err(cut::Reason::Ending),
         }
     }
 
@@ -404,28 +397,30 @@
         reader: &stream::Reader,
         lost: &retry::Failure,
         after: Option<&str>,
-    ) -> Option<(stream::Chunk, Box<stream::Reader>)> {
+    ) -> Result<(stream::Chunk, Box<stream::Reader>), cut::Reason> {
         match lost {
             retry::Failure::Silent => self.pause_server(&reader.server.life, "silent midway"),
-            retry::Failure::Late => return None,
+            retry::Failure::Late => return Err(cut::Reason::Late),
             retry::Failure::Slow => {}
             _ => self.check_after_disconnect(context.fingerprint, reader.server.clone()),
         }
         context.failed_servers.push(reader.server.life.clone());
-        let after = after?;
+        let after = after.ok_or(cut::Reason::NoEventId)?;
         let is_free = matches!(lost, retry::Failure::Slow | retry::Failure::Silent);
-        let may = retry::is_allowed(&context.route, lost, context.history, context.time_left())
-            && (is_free || self.spend_retry(&context.service));
-        if !may {
-            return None;
+        retry::check(&context.route, lost, context.history, context.time_left())
+            .map_err(cut::Reason::Denied)?;
+        if !is_free {
+            self.spend_retry(&context.service)
+                .map_err(cut::Reason::Denied)?;
         }
         match self.attempt_until_done(context, Some(after)).await {
             Ok(attempt::Response::Stream { first, reader, .. }) => {
                 log_event!(self.node.log(), Event::StreamResumed, "request" => &context.request.id,
                     "server" => &reader.server.life, "after" => after, "cause" => format!("{lost:?}"));
-                Some((first, reader))
+                Ok((first, reader))
             }
-            _ => None,
+            Ok(attempt::Response::Complete(_)) => Err(cut::Reason::NoStream),
+            Err(failure) => Err(cut::Reason::AttemptFailed(failure.cause)),
         }
     }
 }
--- a/src/edge/direct/span.rs
+++ b/src/edge/direct/span.rs
@@ -7,6 +7,7 @@
 use http::StatusCode;
 
 use super::Direct;
+use super::cut;
 use super::progress;
 use crate::direct::retry;
 use crate::edge::event::Event;
@@ -92,11 +93,28 @@
     }
 
     /// Ends the request with a response that broke off.
-    pub(super) fn cut(&mut self, lost: &retry::Failure) {
+    /// `lost`: why it broke off, `reason`: why it was not resumed.
+    pub(super) fn cut(&mut self, lost: &retry::Failure, reason: &cut::Reason) {
         self.ended = true;
         let took = self.began.elapsed();
         self.direct.counts.request_ended(&self.service, "cut", took);
-        self.log(Event::StreamCut, 0, &format!("{lost:?}"));
+        self.direct.counts.answer_cut(&self.service, reason.name());
+        let now = self.direct.node.now();
+        let state = self.progress.lock().clone();
+        if !self.direct.log_limiter.allow(Event::StreamCut, now) {
+            if let Some(ids) = self.direct.cut_ids.add(state.stage, &self.id) {
+                self.direct.log_cut_ids(state.stage, &ids);
+            }
+            return;
+        }
+        let (first_ms, whole_ms) = self.times();
+        log_event!(self.direct.node.log(), Event::StreamCut, "request" => &self.id,
+            "cause" => format!("{lost:?}"), "unresumed" => reason.name(), "then" => reason.failure(),
+            "stage" => state.stage.name(), "stage_ms" => state.since.elapsed().as_millis() as u64,
+            "server" => server_name(&state), "left_ms" => progress::time_left(&state).as_millis() as u64,
+            "first_ms" => first_ms, "whole_ms" => whole_ms, "events" => state.events,
+            "pause_ms" => self.max_pause.as_millis() as u64,
+            "quiet_ms" => self.last_event.elapsed().as_millis() as u64);
     }
 
     fn log(&self, event: Event, status: u16, cause: &str) {
@@ -104,12 +122,49 @@
         if !self.direct.log_limiter.allow(event, now) {
             return;
         }
-        let first_ms = self.first_event.map_or(0, |took| took.as_millis() as u64);
-        let whole_ms = self.began.elapsed().as_millis() as u64;
+        let (first_ms, whole_ms) = self.times();
+        let state = self.progress.lock().clone();
+        if event == Event::RequestEnded {
+            log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
+                "cause" => cause, "first_ms" => first_ms, "whole_ms" => whole_ms,
+                "events" => state.events, "pause_ms" => self.max_pause.as_millis() as u64);
+            return;
+        }
         log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
-            "cause" => cause, "first_ms" => first_ms, "whole_ms" => whole_ms, "events" => self.progress.lock().events,
+            "cause" => cause, "stage" => state.stage.name(),
+            "stage_ms" => state.since.elapsed().as_millis() as u64, "server" => server_name(&state),
+            "left_ms" => progress::time_left(&state).as_millis() as u64,
+            "first_ms" => first_ms, "whole_ms" => whole_ms, "events" => state.events,
             "pause_ms" => self.max_pause.as_millis() as u64);
     }
+
+    /// Milliseconds to the first event, 0 if there was none, and until now.
+    fn times(&self) -> (u64, u64) {
+        let first = self.first_event.unwrap_or_default();
+        let whole = self.began.elapsed();
+        (first.as_millis() as u64, whole.as_millis() as u64)
+    }
+}
+
+/// The backend server of the last attempt. Empty if there was none.
+fn server_name(state: &progress::State) -> String {
+    let server = state.server.as_ref();
+    server.map(ToString::to_string).unwrap_or_default()
+}
+
+impl Direct {
+    /// Logs the ids of cut requests whose own lines were suppressed.
+    pub(super) fn log_cut_ids(&self, stage: progress::Stage, ids: &[String]) {
+        log_event!(self.node.log(), Event::StreamCut, "requests" => ids.join(" "),
+            "stage" => stage.name(), "count" => ids.len());
+    }
+
+    /// Logs the ids of all cut requests gathered since the last such line.
+    pub(super) fn flush_cut_ids(&self) {
+        for (stage, ids) in self.cut_ids.take() {
+            self.log_cut_ids(stage, &ids);
+        }
+    }
 }
 
 impl Drop for Span {
--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -12,6 +12,7 @@
 use tokio::time;
 
 use super::Direct;
+use super::cut;
 use super::listener;
 use super::progress;
 use crate::edge::event::Event;
@@ -38,9 +39,6 @@
 /// Cut requests that are logged with one line each.
 const MAX_LINES: usize = 100;
 
-/// Ids in one log line of further cut requests.
-const MAX_IDS_PER_LINE: usize = 64;
-
 /// The listeners that are closed at a stop.
 pub(super) struct Listeners {
     stage: watch::Sender<listener::Stage>,
@@ -120,6 +118,7 @@
     loop {
         tick.tick().await;
         log_progress(direct);
+        direct.flush_cut_ids();
     }
 }
 
@@ -142,6 +141,7 @@
 /// Logs the requests still in progress as cut by the exit of this process, and returns their
 /// number.
 pub(super) fn log_cut(direct: &Direct) -> usize {
+    direct.flush_cut_ids();
     let cut = direct.progress.all();
     let (single, rest) = cut.split_at(cut.len().min(MAX_LINES));
     for progress in single {
@@ -164,7 +164,7 @@
             .push(state.id.clone());
     }
     for (stage, ids) in by_stage {
-        for ids in ids.chunks(MAX_IDS_PER_LINE) {
+        for ids in ids.chunks(cut::MAX_IDS_PER_LINE) {
             log_event!(direct.node.log(), Event::RequestCut, "requests" => ids.join(" "),
                 "stage" => stage.name(), "count" => ids.len());
         }
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -14,6 +14,7 @@
 use super::dialect;
 use super::pool;
 use super::reserve;
+use super::silence;
 use crate::direct::register;
 use crate::direct::retry;
 use crate::direct::sse;
@@ -55,6 +56,7 @@
     keep_alive: Option<Duration>,
     closes: bool,
     has_started: bool,
+    silence: silence::Silence,
 }
 
 impl Reader {
@@ -78,6 +80,7 @@
             keep_alive: response.keep_alive,
             closes: response.closes,
             has_started: false,
+            silence: silence::Silence::start(),
         }
     }
 
@@ -101,10 +104,19 @@
         Some(out.freeze())
     }
 
+    /// Since when nothing came from the server.
+    pub fn silence(&self) -> silence::Silence {
+        self.silence
+    }
+
     /// Reads the next events. After `quiet` without any the server is probed. If it does not answer,
     /// `may_leave` decides whether the request leaves it. Cancel safe: it may be called again after
     /// its future was dropped.
-    pub async fn next(&mut self, quiet: Duration, may_leave: impl Fn() -> bool) -> Next {
+    pub async fn next(
+        &mut self,
+        quiet: Duration,
+        may_leave: impl Fn(silence::Silence) -> bool,
+    ) -> Next {
         let mut stays = false;
         loop {
             let chunk = self.take_events();
@@ -116,11 +128,12 @@
                 return Next::Chunk(chunk);
             }
             let frame = {
-                let dead = self.direct.until_unresponsive(&self.server, quiet);
+                let probed = &mut self.silence.probed;
+                let dead = self.direct.until_unresponsive(&self.server, quiet, probed);
                 tokio::select! {
                     frame = self.body.frame() => frame,
                     () = dead, if !stays => {
-                        if may_leave() {
+                        if may_leave(self.silence) {
                             return Next::Lost(retry::Failure::Silent);
                         }
                         stays = true;
@@ -128,6 +141,7 @@
                     }
                 }
             };
+            self.silence = silence::Silence::start();
             match frame {
                 Some(Ok(frame)) => {
                     let data = frame.data_ref().map_or(&[][..], |data| data);
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -77,6 +77,7 @@
     PeerSeen = 220, Info, "another process became known";
     PeerLost = 221, Warning, "another process has gone silent";
     ServerCold = 222, Info, "backend server is cold: it gets granted requests only";
+    ServerSilent = 223, Info, "request leaves a silent backend server, or stays with it";
     DocumentInForce = 230, Info, "published configuration in force";
     DocumentRefused = 231, Warning, "published configuration refused: it has findings";
     DocumentTaken = 232, Info, "change of the published configuration answered";
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -23,6 +23,10 @@
         "\n"
     ),
     concat!(
+        r#"{"msg":"request leaves","ts":"2026-01-01T00:00:08Z","node":"c","event":223,"request":"r6","server":"i-1","decision":"stay","why":"budget"}"#,
+        "\n",
+        r#"{"msg":"answer broken off","ts":"2026-01-01T00:00:09Z","node":"c","event":206,"requests":"r6 r7","stage":"answering"}"#,
+        "\n",
         r#"{"msg":"request refused or failed","ts":"2026-01-01T00:00:03Z","node":"b","event":204,"request":"r1","status":502}"#,
         "\n",
         r#"{"msg":"zones","ts":"2026-01-01T00:00:07Z","node":"b","event":236,"zones":"east"}"#,
@@ -95,6 +99,18 @@
     assert_eq!(explain("r").status.code(), Some(1), "part of an id");
 }
 
+/// A request stayed with a silent server and was cut, among so many that they share a line.
+#[test]
+fn cut_while_silent() {
+    let text = String::from_utf8_lossy(&explain("r6").stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert!(lines[0].contains("why=\"budget\""), "{text}");
+    assert!(
+        lines[1].starts_with("->") && lines[1].contains("stage=\"answering\""),
+        "{text}"
+    );
+}
+
 /// Servers of an evacuated zone were left out of a request's choice: what its own entry had in force.
 #[test]
 fn zones_left_out() {
