Failing tests: answers end because their server is silent for a second

What callers saw: a request that was read whole ended without a whole answer, though its server was sound, had it, and went on 1.5 s later. Evidence, on with the stand-in's silence, one server that serves and one that rejects all: stream_cut_by_silence, cut after its fourth event 0.96 s after it was placed ("whole: false"); request_failed_by_silence, /safe answered 502 after five rejections elsewhere, 7 s of its time left; streams_cut_by_silence, eight streams, some of them answered without an event. The stand-in ran each of them. stream_cut_by_stall and moved_stream_doubled pass: a stream stays where no other server is better, and moves without doubled events.

--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -77,6 +77,8 @@
     mood: Mood,
     /// Until when it does nothing at all, and says nothing.
     silent_until: Option<time::Instant>,
+    /// Until when it writes no event of a stream.
+    stalled_until: Option<time::Instant>,
     /// Delay after which reserve orders are carried out. They get no answer then.
     reserve_delay: Option<Duration>,
     /// Requests a second that it takes from all, if it names a limit.
@@ -146,6 +148,12 @@
         self.state.lock().expect("state lock").silent_until = Some(until);
     }
 
+    /// Writes no events for a time, and serves everything else meanwhile.
+    pub fn pause_streams(&self, time: Duration) {
+        let until = time::Instant::now() + time;
+        self.state.lock().expect("state lock").stalled_until = Some(until);
+    }
+
     /// From now on reserve orders get no answer and are carried out after this delay. `None`: at
     /// once, and answered.
     pub fn delay_reserves(&self, delay: Option<Duration>) {
@@ -230,8 +238,13 @@
 
 /// Waits until it is not silent.
 async fn awake(state: &Mutex<State>) {
+    sleep_until(state, |state| state.silent_until).await;
+}
+
+/// Waits until a time of the state has passed, which may change meanwhile.
+async fn sleep_until(state: &Mutex<State>, until: impl Fn(&State) -> Option<time::Instant>) {
     loop {
-        let until = state.lock().expect("state lock").silent_until;
+        let until = until(&state.lock().expect("state lock"));
         match until {
             Some(until) if until > time::Instant::now() => time::sleep_until(until).await,
             _ => return,
@@ -333,6 +346,7 @@
     let after: usize = request.header("last-event-id").parse().unwrap_or(0);
     for id in after + 1..=EVENTS {
         time::sleep(PAUSE).await;
+        sleep_until(state, |state| state.stalled_until).await;
         awake(state).await;
         let event = format!("id: {id}\ndata: token {id}\n\n");
         if mood == Mood::Breaks && id == after + 6 {
