Answers no longer end because their server is silent: an attempt stays open until another one responds

What callers saw: a request that was read whole got a cut answer or a 502 while its server, silent for a second or so, was about to go on. Cause: who decided that a request leaves its server also ended it. The first server's response was no longer read, or its connection was closed, before any other server had taken the request; if none did (rejected, no server, no attempt or budget left), there was nothing left to pass on. Class: giving up what one has before the next is there. Change: a silent or slow server makes the next attempt start, and no more (attempt::left). The former stays open (pending::Attempts, and for a stream its reader in resume) and whichever responds first is taken; the other is dropped, which closes its connection. A request is not sent to a server where an attempt of it is open. If no other attempt is allowed or all fail, the open ones are waited for until the deadline. A stream without an event to resume after does not look elsewhere. Why it works: an answer now ends only with its server's word, its caller, its deadline or this process.

--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -8,13 +8,14 @@
 use bytes::Bytes;
 use http::response;
 use http_body_util::Full;
-use hyper::body;
+use tokio::sync::Notify;
 use tokio::time;
 
 use super::Direct;
 use super::choose::Assignment;
 use super::context::Context;
 use super::dialect;
+use super::pending;
 use super::pool;
 use super::progress;
 use super::reserve;
@@ -39,11 +40,6 @@
 /// Pause between two checks whether the response comes before this process exits.
 const EXIT_POLL: Duration = Duration::from_millis(100);
 
-/// Why a sent request was abandoned: its server answers nothing at all, or answers probes but not
-/// this request.
-const SILENT: &str = "silent";
-const HUNG: &str = "hung";
-
 /// A complete response that is not a stream of events.
 pub struct Complete {
     /// Status and headers.
@@ -67,6 +63,14 @@
     },
 }
 
+/// An attempt whose request is being sent.
+struct Sent {
+    attempt: pending::Attempt,
+    timeouts: deadline::Silence,
+    /// Notified when the head of the response was received.
+    head_received: Arc<Notify>,
+}
+
 /// A failed attempt, with what can be passed on if no other follows.
 pub struct Failure {
     /// Why the attempt failed.
@@ -75,6 +79,35 @@
     pub response: Option<Complete>,
 }
 
+/// How the part of an attempt ended that follows its sending.
+pub struct Answered {
+    /// The response, or why there is none.
+    pub outcome: Result<Response, Failure>,
+    /// Whether it may have run.
+    pub ran: bool,
+}
+
+impl Answered {
+    fn ran(outcome: Result<Response, Failure>) -> Self {
+        Self { outcome, ran: true }
+    }
+
+    fn not_run(failure: retry::Failure) -> Self {
+        Self {
+            outcome: Err(failure.into()),
+            ran: false,
+        }
+    }
+}
+
+/// What the response to a request must be.
+struct Expected {
+    /// Id of the request.
+    id: String,
+    /// Whether it is a stream of events if it is a success.
+    is_stream: bool,
+}
+
 impl From<retry::Failure> for Failure {
     fn from(cause: retry::Failure) -> Self {
         Self {
@@ -90,12 +123,12 @@
         self: &Arc<Self>,
         context: &mut Context,
         after: Option<&str>,
-    ) -> Result<Response, Failure> {
+    ) -> pending::Outcome {
         let assignment = match self.choose_in_turn(context).await {
             Ok(assignment) => assignment,
             Err(cause) => {
                 context.history.tried += 1;
-                return Err(cause.into());
+                return pending::Outcome::Failed(cause.into());
             }
         };
         let server = assignment.server.clone();
@@ -104,20 +137,30 @@
         let outcome = tokio::select! {
             biased;
             outcome = self.attempt_at(context, assignment, after) => outcome,
-            () = cancelled => Err(context.end_with_process().into()),
+            () = cancelled => pending::Outcome::Failed(context.end_with_process().into()),
         };
-        if let Err(failure) = &outcome {
-            self.record_failure(context, &server, &failure.cause);
-            context.failed_servers.push(server.life);
-        } else {
-            let now = self.node.now();
-            self.state()
-                .healths
-                .record_response(now, &server.life, true);
-        }
+        let cause = match &outcome {
+            pending::Outcome::Answered(_) => {
+                self.record_success(&server.life);
+                return outcome;
+            }
+            pending::Outcome::Failed(failure) => &failure.cause,
+            pending::Outcome::Left(cause, _) => {
+                context.open_at.push(server.life.clone());
+                cause
+            }
+        };
+        self.record_failure(context, &server, cause);
+        context.failed_servers.push(server.life);
         outcome
     }
 
+    /// Notes that a server gave a correct response.
+    pub(super) fn record_success(&self, server: &register::Instance) {
+        let now = self.node.now();
+        self.state().healths.record_response(now, server, true);
+    }
+
     /// Resolves once a request would not be answered before this process exits, if it may be
     /// repeated and nothing was passed on yet. The caller then has time to repeat it at another
     /// entry.
@@ -157,7 +200,20 @@
         context: &mut Context,
         assignment: Assignment,
         after: Option<&str>,
-    ) -> Result<Response, Failure> {
+    ) -> pending::Outcome {
+        match self.send(context, assignment, after).await {
+            Ok(sent) => self.await_response(context, sent).await,
+            Err(cause) => pending::Outcome::Failed(cause.into()),
+        }
+    }
+
+    /// Reserves memory, connects, and starts to send the request.
+    async fn send(
+        self: &Arc<Self>,
+        context: &mut Context,
+        assignment: Assignment,
+        after: Option<&str>,
+    ) -> Result<Sent, retry::Failure> {
         let server = assignment.server.clone();
         let progress = context.progress.clone();
         progress.reach_at(progress::Stage::Reserving, &server.life);
@@ -165,46 +221,65 @@
         progress.reach(progress::Stage::Connecting);
         let may_reuse = context.route.repeatable() || REUSE_FOR_UNSAFE;
         let conn = self.pool.conn(&server.life, server.addr, may_reuse).await;
-        let mut conn = conn.map_err(|_| retry::Failure::Unsent)?;
+        let conn = conn.map_err(|_| retry::Failure::Unsent)?;
         let request = self.build_request(context, &assignment, memory.as_ref(), after);
         if !self.may_send(&assignment) {
-            return Err(retry::Failure::Withdrawn.into());
+            return Err(retry::Failure::Withdrawn);
         }
         let timeouts = silence_timeouts(context, assignment.first_ms);
         progress.reach(progress::Stage::Sent);
-        let sent_at = self.record_sent(&server.life, tally::Kind::Request);
-        let sent = {
-            let sending = conn.send(request);
-            tokio::pin!(sending);
-            tokio::select! {
-                sent = &mut sending => sent,
-                why = self.abandoned(context, &server, timeouts) => match why {
-                    Some(why) => Err(pool::Failure::Sent(why.to_owned())),
-                    None => sending.await,
-                },
-            }
+        let expected = Expected {
+            id: context.request.id.clone(),
+            is_stream: context.route.kind == catalog::Kind::Stream,
         };
-        let response = match sent {
-            Ok(response) => response,
-            Err(pool::Failure::Unsent(_)) => return Err(retry::Failure::Unsent.into()),
-            Err(pool::Failure::Sent(why)) => {
-                context.history.ran += 1;
-                return Err(cause_of_loss(&why).into());
-            }
+        let head_received = Arc::new(Notify::new());
+        let answer = Arc::clone(self).answer(
+            expected,
+            assignment,
+            (conn, memory),
+            request,
+            Arc::clone(&head_received),
+        );
+        let attempt = pending::Attempt {
+            server,
+            answering: Box::pin(answer),
         };
-        let (head, body) = response.into_parts();
-        let answer = self.dialect.response(&head);
-        // If another instance answers, its limit is not that of the expected server.
-        if !answer.displaced {
-            let source = if answer.sealed {
-                quota::Source::Run
-            } else {
-                quota::Source::Other
+        Ok(Sent {
+            attempt,
+            timeouts,
+            head_received,
+        })
+    }
+
+    /// Waits for the response until the request leaves its server.
+    async fn await_response(&self, context: &mut Context, sent: Sent) -> pending::Outcome {
+        let Sent {
+            mut attempt,
+            timeouts,
+            head_received,
+        } = sent;
+        // The request was sent, so this attempt may have run.
+        let history = retry::History {
+            ran: context.history.ran + 1,
+            ..context.history
+        };
+        loop {
+            let answered = tokio::select! {
+                biased;
+                answered = &mut attempt.answering => answered,
+                // The server works at it: the timeouts begin anew.
+                () = head_received.notified() => continue,
+                cause = self.left(context, history, &attempt.server, timeouts) => {
+                    context.history.ran += 1;
+                    return pending::Outcome::Left(cause, attempt);
+                }
+            };
+            context.history.ran += u32::from(answered.ran);
+            return match answered.outcome {
+                Ok(response) => pending::Outcome::Answered(response),
+                Err(failure) => pending::Outcome::Failed(failure),
             };
-            self.observe_limit(&server.life, sent_at, &head.headers, source);
         }
-        self.read_response(context, assignment, (conn, memory), head, body, timeouts)
-            .await
     }
 
     /// Whether no zone of its servers was evacuated since they were chosen.
@@ -274,111 +349,98 @@
         request
     }
 
-    async fn read_response(
-        self: &Arc<Self>,
-        context: &mut Context,
+    /// Sends a request and reads its response: all of it, or of a stream the first events.
+    async fn answer(
+        self: Arc<Self>,
+        expected: Expected,
         assignment: Assignment,
         resources: (pool::Conn, Option<reserve::Reservation>),
-        head: response::Parts,
-        body: body::Incoming,
-        timeouts: deadline::Silence,
-    ) -> Result<Response, Failure> {
+        request: http::Request<Full<Bytes>>,
+        head_received: Arc<Notify>,
+    ) -> Answered {
+        let (mut conn, memory) = resources;
+        let life = &assignment.server.life;
+        let sent_at = self.record_sent(life, tally::Kind::Request);
+        let response = match conn.send(request).await {
+            Ok(response) => response,
+            Err(pool::Failure::Unsent(_)) => return Answered::not_run(retry::Failure::Unsent),
+            Err(pool::Failure::Sent(_)) => {
+                return Answered::ran(Err(retry::Failure::Broken.into()));
+            }
+        };
+        head_received.notify_one();
+        let (head, body) = response.into_parts();
         let answer = self.dialect.response(&head);
+        // If another instance answers, its limit is not that of the expected server.
+        if !answer.displaced {
+            let source = if answer.sealed {
+                quota::Source::Run
+            } else {
+                quota::Source::Other
+            };
+            self.observe_limit(life, sent_at, &head.headers, source);
+        }
         if answer.not_run || answer.displaced {
             if answer.displaced && answer.at_fault.is_none() {
-                self.server_displaced(&assignment.server.life);
+                self.server_displaced(life);
             }
-            return Err(retry::Failure::NotRun {
+            return Answered::not_run(retry::Failure::NotRun {
                 at_fault: answer.at_fault,
                 displaced: answer.displaced,
-            }
-            .into());
+            });
         }
-        context.history.ran += 1;
-        let is_other = answer
-            .id
-            .as_deref()
-            .is_some_and(|id| id != context.request.id);
+        let is_other = answer.id.as_deref().is_some_and(|id| id != expected.id);
         let success = head.status.is_success();
         if is_other || answer.encoded || (success && !answer.sealed) {
-            return Err(retry::Failure::Broken.into());
-        }
-        let is_stream = context.route.kind == catalog::Kind::Stream && success;
-        let mut reader = stream::Reader::new(self, assignment, resources, body, &answer);
-        if !is_stream {
-            let collected = reader
-                .collect(MAX_RESPONSE_BYTES, context.time_left())
-                .await;
-            let body = collected.ok_or(retry::Failure::Broken)?;
-            let complete = Complete { head, body };
-            return if complete.head.status.is_server_error() {
-                let cause = retry::Failure::Failed;
-                let response = Some(complete);
-                Err(Failure { cause, response })
-            } else {
-                Ok(Response::Complete(complete))
-            };
-        }
-        let next = loop {
-            let server = reader.server.life.clone();
-            let may_leave = |silence| self.may_move(context, context.history, &server, silence);
-            let got = time::timeout(
-                timeouts.move_after,
-                reader.next(timeouts.probe_after, may_leave),
-            )
-            .await;
-            match got {
-                Ok(next) => break next,
-                Err(_) if self.should_move(context, &server, reader.silence()) => {
-                    return Err(retry::Failure::Slow.into());
-                }
-                Err(_) => {}
-            }
-        };
-        match next {
-            stream::Next::Chunk(first) => Ok(Response::Stream {
-                head: Box::new(head),
-                first,
-                reader: Box::new(reader),
-            }),
-            stream::Next::End => {
-                let body = Bytes::new();
-                Ok(Response::Complete(Complete { head, body }))
-            }
-            stream::Next::Lost(cause) => Err(cause.into()),
+            return Answered::ran(Err(retry::Failure::Broken.into()));
         }
+        let reader = stream::Reader::new(&self, assignment, (conn, memory), body, &answer);
+        Answered::ran(read_response(reader, head, expected.is_stream && success).await)
     }
 
-    /// Resolves once a sent request should be abandoned, with the reason. `None`: it must keep
-    /// waiting at its server.
-    async fn abandoned(
+    /// Resolves once a request should leave its server, with the reason: it answers nothing at all,
+    /// or it answers probes and another server would answer this request sooner. One retry has been
+    /// taken from the budget then. `history`: includes the attempt at this server.
+    pub(super) async fn left(
         &self,
         context: &Context,
+        history: retry::History,
         server: &register::Record,
         timeouts: deadline::Silence,
-    ) -> Option<&'static str> {
-        let mut silence = silence::Silence::start();
-        let hung = async {
+    ) -> retry::Failure {
+        let begun = silence::Silence::start();
+        let silent = async {
+            let mut silence = begun;
+            loop {
+                let quiet = timeouts.probe_after;
+                self.until_unresponsive(server, quiet, &mut silence.probed)
+                    .await;
+                match self.may_move(context, history, &server.life, silence) {
+                    Ok(()) => return,
+                    Err(retry::Denial::Budget) => {}
+                    // No later attempt is allowed either.
+                    Err(_) => return std::future::pending().await,
+                }
+            }
+        };
+        let slow = async {
             loop {
                 time::sleep(timeouts.move_after).await;
-                if self.has_better_server(context, &server.life) {
+                if self.has_better_server(context, &server.life)
+                    && self.may_move(context, history, &server.life, begun).is_ok()
+                {
                     return;
                 }
             }
         };
-        let why = tokio::select! {
-            () = self.until_unresponsive(server, timeouts.probe_after, &mut silence.probed) => SILENT,
-            () = hung => HUNG,
-        };
-        // The request was sent, so this attempt may have run.
-        let mut history = context.history;
-        history.ran += 1;
-        self.may_move(context, history, &server.life, silence)
-            .then_some(why)
+        tokio::select! {
+            () = silent => retry::Failure::Silent,
+            () = slow => retry::Failure::Slow,
+        }
     }
 
     /// Logs and counts a failed attempt, and updates the health of the servers at fault.
-    fn record_failure(
+    pub(super) fn record_failure(
         self: &Arc<Self>,
         context: &Context,
         server: &register::Record,
@@ -437,13 +499,35 @@
     )
 }
 
-/// Why an attempt that was sent got no response.
-fn cause_of_loss(why: &str) -> retry::Failure {
-    match why {
-        SILENT => retry::Failure::Silent,
-        HUNG => retry::Failure::Slow,
-        _ => retry::Failure::Broken,
+/// Reads a response: all of it, or the first events of a stream.
+async fn read_response(
+    mut reader: stream::Reader,
+    head: response::Parts,
+    is_stream: bool,
+) -> Result<Response, Failure> {
+    if is_stream {
+        return match reader.next().await {
+            stream::Next::Chunk(first) => Ok(Response::Stream {
+                head: Box::new(head),
+                first,
+                reader: Box::new(reader),
+            }),
+            stream::Next::End => {
+                let body = Bytes::new();
+                Ok(Response::Complete(Complete { head, body }))
+            }
+            stream::Next::Lost(cause) => Err(cause.into()),
+        };
+    }
+    let collected = reader.collect(MAX_RESPONSE_BYTES).await;
+    let body = collected.ok_or(retry::Failure::Broken)?;
+    let complete = Complete { head, body };
+    if complete.head.status.is_server_error() {
+        let cause = retry::Failure::Failed;
+        let response = Some(complete);
+        return Err(Failure { cause, response });
     }
+    Ok(Response::Complete(complete))
 }
 
 fn cause_name(cause: &retry::Failure) -> &'static str {
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -45,6 +45,8 @@
     pub history: retry::History,
     /// Servers at which an attempt of it failed.
     pub failed_servers: Vec<register::Instance>,
+    /// Servers at which an attempt of it is open beside the latest one.
+    pub open_at: Vec<register::Instance>,
     /// Hash of workspace, host, URI and body: equal for equal requests.
     pub fingerprint: id::Fingerprint,
     /// Version of the configuration that routed it.
--- a/src/edge/direct/eligibility.rs
+++ b/src/edge/direct/eligibility.rs
@@ -20,7 +20,7 @@
 /// request's subset of the fleet. If there are none, takes those of the whole fleet. If there are
 /// none and no server with a limit is healthy either, takes any.
 pub(super) fn candidates(state: &super::State, now: Duration, context: &Context) -> Candidates {
-    let ready: Vec<register::Ready<'_>> = at_home(state, now, context).collect();
+    let ready: Vec<register::Ready<'_>> = without_open(state, now, context).collect();
     let subset = subset::Subset::draw(ready.len(), context.need().draw);
     if subset != subset::Subset::WHOLE {
         let in_subset: Vec<register::Ready<'_>> = ready
@@ -50,6 +50,16 @@
     ready.filter(|server| context.homes.allow(&server.record.zone))
 }
 
+/// [`at_home`], without those at which an attempt of the request is open.
+fn without_open<'a>(
+    state: &'a super::State,
+    now: Duration,
+    context: &'a Context,
+) -> impl Iterator<Item = register::Ready<'a>> {
+    let ready = at_home(state, now, context);
+    ready.filter(|server| !context.open_at.contains(&server.record.life))
+}
+
 /// Whether servers accept requests, but none that the request may go to: their zones are evacuated,
 /// or are no homes of it.
 pub(super) fn is_excluded(state: &super::State, now: Duration, context: &Context) -> bool {
@@ -117,7 +127,7 @@
     context: &Context,
     other: bool,
 ) -> Vec<register::Record> {
-    let ready = at_home(state, now, context).map(|server| (server.record, server.age));
+    let ready = without_open(state, now, context).map(|server| (server.record, server.age));
     let all: Vec<(&register::Record, Duration)> = ready
         .filter(|(record, _)| state.is_limited(now, &record.life))
         .collect();
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -19,18 +19,18 @@
 use super::Direct;
 use super::attempt;
 use super::context::Context;
-use super::cut;
 use super::dialect;
 use super::listener;
+use super::pending;
 use super::progress;
+use super::resume;
 use super::span;
 use super::stream;
 use crate::direct::catalog;
 use crate::direct::deadline;
 use crate::direct::home;
+use crate::direct::register;
 use crate::direct::retry;
-use crate::edge::event::Event;
-use crate::log_event;
 use crate::wire::id;
 
 /// Longest wait of a request for the first configuration or the first backend server that this
@@ -169,6 +169,7 @@
             deadline: began + limit,
             history: retry::History::default(),
             failed_servers: Vec::new(),
+            open_at: Vec::new(),
             fingerprint,
             version: catalog.version(),
             progress: progress.clone(),
@@ -244,41 +245,119 @@
         reject(status, retry_after)
     }
 
-    /// Makes attempts until one gives a response, or no other is allowed.
-    async fn attempt_until_done(
+    /// Makes attempts until one gives a response, or no other is allowed and none is open. An
+    /// attempt that another one follows because its server is silent or slow stays open: whichever
+    /// responds first is taken.
+    pub(super) async fn attempt_until_done(
         self: &Arc<Self>,
         context: &mut Context,
         after: Option<&str>,
     ) -> Result<attempt::Response, attempt::Failure> {
+        let mut open = pending::Attempts::default();
+        let mut pause = Duration::ZERO;
         loop {
-            let failure = match self.attempt(context, after).await {
-                Ok(response) => return Ok(response),
-                Err(failure) => failure,
+            let mut failure = match self.race(context, after, pause, &mut open).await {
+                pending::Outcome::Answered(response) => return Ok(response),
+                pending::Outcome::Left(_, attempt) => {
+                    open.push(attempt);
+                    pause = Duration::ZERO;
+                    continue;
+                }
+                pending::Outcome::Failed(failure) => failure,
             };
-            // An attempt that left its server has spent from the retry budget then.
-            let is_free = matches!(
-                failure.cause,
-                retry::Failure::Unsent
-                    | retry::Failure::Withdrawn
-                    | retry::Failure::Slow
-                    | retry::Failure::Silent
-            );
-            let may = retry::is_allowed(
-                &context.route,
-                &failure.cause,
-                context.history,
-                context.time_left(),
-            ) && (is_free || self.spend_retry(&context.service).is_ok());
-            if !may {
-                return Err(failure);
+            while self.may_retry(context, &failure.cause).is_err() {
+                if open.is_empty() {
+                    return Err(failure);
+                }
+                let ended = open.next().await;
+                match self.settle(context, ended) {
+                    Ok(response) => return Ok(response),
+                    Err(cause) => failure = cause,
+                }
             }
+            pause = Duration::ZERO;
             if context.history.tried > 1 && failure.cause.not_run() {
-                context.progress.reach(progress::Stage::Paused);
-                time::sleep(REJECTED_PAUSE * (1 << (context.history.tried - 2).min(4))).await;
+                pause = REJECTED_PAUSE * (1 << (context.history.tried - 2).min(4));
             }
         }
     }
 
+    /// Makes one attempt after `pause`, unless one of those that are open responds before.
+    async fn race(
+        self: &Arc<Self>,
+        context: &mut Context,
+        after: Option<&str>,
+        pause: Duration,
+        open: &mut pending::Attempts,
+    ) -> pending::Outcome {
+        let mut lost = Vec::new();
+        let outcome = {
+            let attempt = async {
+                if !pause.is_zero() {
+                    context.progress.reach(progress::Stage::Paused);
+                    time::sleep(pause).await;
+                }
+                self.attempt(context, after).await
+            };
+            tokio::pin!(attempt);
+            loop {
+                tokio::select! {
+                    biased;
+                    ended = open.next() => match ended.outcome {
+                        Ok(response) => {
+                            self.record_success(&ended.server.life);
+                            return pending::Outcome::Answered(response);
+                        }
+                        Err(failure) => lost.push((ended.server, failure.cause)),
+                    },
+                    outcome = &mut attempt => break outcome,
+                }
+            }
+        };
+        for (server, cause) in lost {
+            self.record_loss(context, &server, &cause);
+        }
+        outcome
+    }
+
+    /// Notes how an attempt that stayed open ended.
+    fn settle(
+        self: &Arc<Self>,
+        context: &mut Context,
+        ended: pending::Ended,
+    ) -> Result<attempt::Response, attempt::Failure> {
+        match &ended.outcome {
+            Ok(_) => self.record_success(&ended.server.life),
+            Err(failure) => self.record_loss(context, &ended.server, &failure.cause),
+        }
+        ended.outcome
+    }
+
+    /// Notes that an attempt which stayed open failed.
+    fn record_loss(
+        self: &Arc<Self>,
+        context: &mut Context,
+        server: &register::Record,
+        cause: &retry::Failure,
+    ) {
+        context.open_at.retain(|life| *life != server.life);
+        self.record_failure(context, server, cause);
+    }
+
+    /// Whether another attempt follows one that failed. Takes one retry from the budget if the
+    /// failed one may have loaded a server.
+    pub(super) fn may_retry(
+        &self,
+        context: &Context,
+        cause: &retry::Failure,
+    ) -> Result<(), retry::Denial> {
+        retry::check(&context.route, cause, context.history, context.time_left())?;
+        match cause {
+            retry::Failure::Unsent | retry::Failure::Withdrawn => Ok(()),
+            _ => self.spend_retry(&context.service),
+        }
+    }
+
     /// Takes one retry from the budget of `service`, if it has one left.
     pub(super) fn spend_retry(&self, service: &str) -> Result<(), retry::Denial> {
         let now = self.node.now();
@@ -287,65 +366,41 @@
         is_spent.then_some(()).ok_or(retry::Denial::Budget)
     }
 
-    /// Passes events on as they arrive. A stream that breaks off is resumed at another server.
+    /// Passes events on as they arrive.
     fn pass_stream(
         self: &Arc<Self>,
         mut context: Context,
         mut span: span::Span,
         head: &response::Parts,
         first: stream::Chunk,
-        mut reader: Box<stream::Reader>,
+        reader: Box<stream::Reader>,
     ) -> http::Response<listener::Body> {
         let status = head.status;
         let headers = response_headers(head);
         let direct = Arc::clone(self);
         let chunks = async_stream::stream! {
             let began = Instant::now();
-            let mut after = first.last_id.clone();
+            let mut source = resume::Source::from(reader);
+            let mut after = first.last_id;
             context.progress.reach(progress::Stage::Answering);
             span.events_passed(first.events);
             yield Ok(body::Frame::data(first.bytes));
-            let deadline = time::Instant::from_std(context.deadline);
             loop {
-                let server = reader.server.life.clone();
-                let may_leave = |silence| direct.may_move(&context, context.history, &server, silence);
-                let next = time::timeout(deadline::stall_timeout(&context.route), reader.next(deadline::PROBE_AFTER, may_leave));
-                let next = time::timeout_at(deadline, next);
-                let lost = match next.await {
-                    Ok(Ok(stream::Next::Chunk(chunk))) => {
+                match direct.next_events(&mut context, &mut source, after.as_deref()).await {
+                    Ok(Some(chunk)) => {
+                        context.progress.reach(progress::Stage::Answering);
                         span.events_passed(chunk.events);
-                        if chunk.last_id.is_some() {
-                            after.clone_from(&chunk.last_id);
-                        }
+                        after = chunk.last_id.or(after);
                         yield Ok(body::Frame::data(chunk.bytes));
-                        continue;
                     }
-                    Ok(Ok(stream::Next::End)) => {
+                    Ok(None) => {
                         direct.state().suspects.clear(&context.fingerprint);
                         direct.observe_writing(&context, began.elapsed());
                         span.end(status, "answered");
                         return;
                     }
-                    Ok(Ok(stream::Next::Lost(cause))) => cause,
-                    Ok(Err(_)) if direct.should_move(&context, &server, reader.silence()) => {
-                        retry::Failure::Slow
-                    }
-                    Ok(Err(_)) => continue,
-                    Err(_) => retry::Failure::Late,
-                };
-                let resumed = direct.resume_in_time(&mut context, &reader, &lost, after.as_deref());
-                match resumed.await {
-                    Ok((chunk, next)) => {
-                        context.progress.reach(progress::Stage::Answering);
-                        span.events_passed(chunk.events);
-                        if chunk.last_id.is_some() {
-                            after.clone_from(&chunk.last_id);
-                        }
-                        reader = next;
-                        yield Ok(body::Frame::data(chunk.bytes));
-                    }
-                    Err(reason) => {
-                        span.cut(&lost, &reason);
+                    Err(broken) => {
+                        span.cut(&broken.cause, &broken.unresumed);
                         yield Err(io::Error::other("the answer broke off"));
                         return;
                     }
@@ -370,59 +425,6 @@
         let mut state = self.state();
         state.writing.observe(&context.service, took, expected);
     }
-
-    /// [`Self::resume`], stopped at the deadline or when this process exits.
-    async fn resume_in_time(
-        self: &Arc<Self>,
-        context: &mut Context,
-        reader: &stream::Reader,
-        lost: &retry::Failure,
-        after: Option<&str>,
-    ) -> Result<(stream::Chunk, Box<stream::Reader>), cut::Reason> {
-        let deadline = time::Instant::from_std(context.deadline);
-        let lifetime = context.lifetime.clone();
-        tokio::select! {
-            biased;
-            resumed = time::timeout_at(deadline, self.resume(context, reader, lost, after)) => {
-                resumed.unwrap_or(Err(cut::Reason::Late))
-            }
-            () = lifetime.expired() => Err(cut::Reason::Ending),
-        }
-    }
-
-    /// Resumes a stream at another server after its last complete event.
-    async fn resume(
-        self: &Arc<Self>,
-        context: &mut Context,
-        reader: &stream::Reader,
-        lost: &retry::Failure,
-        after: Option<&str>,
-    ) -> Result<(stream::Chunk, Box<stream::Reader>), cut::Reason> {
-        match lost {
-            retry::Failure::Silent => self.pause_server(&reader.server.life, "silent midway"),
-            retry::Failure::Late => return Err(cut::Reason::Late),
-            retry::Failure::Slow => {}
-            _ => self.check_after_disconnect(context.fingerprint, reader.server.clone()),
-        }
-        context.failed_servers.push(reader.server.life.clone());
-        let after = after.ok_or(cut::Reason::NoEventId)?;
-        let is_free = matches!(lost, retry::Failure::Slow | retry::Failure::Silent);
-        retry::check(&context.route, lost, context.history, context.time_left())
-            .map_err(cut::Reason::Denied)?;
-        if !is_free {
-            self.spend_retry(&context.service)
-                .map_err(cut::Reason::Denied)?;
-        }
-        match self.attempt_until_done(context, Some(after)).await {
-            Ok(attempt::Response::Stream { first, reader, .. }) => {
-                log_event!(self.node.log(), Event::StreamResumed, "request" => &context.request.id,
-                    "server" => &reader.server.life, "after" => after, "cause" => format!("{lost:?}"));
-                Ok((first, reader))
-            }
-            Ok(attempt::Response::Complete(_)) => Err(cut::Reason::NoStream),
-            Err(failure) => Err(cut::Reason::AttemptFailed(failure.cause)),
-        }
-    }
 }
 
 async fn read_body(body: body::Incoming, limits: &catalog::Limits) -> Result<Bytes, Rejection> {
--- a/src/edge/direct/silence.rs
+++ b/src/edge/direct/silence.rs
@@ -44,7 +44,7 @@
         history: retry::History,
         server: &register::Instance,
         silence: Silence,
-    ) -> bool {
+    ) -> Result<(), retry::Denial> {
         let cause = retry::Failure::Slow;
         let allowed = retry::check(&context.route, &cause, history, context.time_left())
             .and_then(|()| self.spend_retry(&context.service));
@@ -60,18 +60,6 @@
                 "ran" => history.ran, "tried" => history.tried,
                 "left_ms" => context.time_left().as_millis() as u64);
         }
-        allowed.is_ok()
-    }
-
-    /// Whether a request leaves a slow server for a better one. Takes one retry from the budget if
-    /// so.
-    pub(super) fn should_move(
-        &self,
-        context: &Context,
-        server: &register::Instance,
-        silence: Silence,
-    ) -> bool {
-        self.has_better_server(context, server)
-            && self.may_move(context, context.history, server, silence)
+        allowed
     }
 }
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -7,14 +7,12 @@
 use bytes::BytesMut;
 use http_body_util::BodyExt as _;
 use hyper::body;
-use tokio::time;
 
 use super::Direct;
 use super::choose;
 use super::dialect;
 use super::pool;
 use super::reserve;
-use super::silence;
 use crate::direct::register;
 use crate::direct::retry;
 use crate::direct::sse;
@@ -56,7 +54,6 @@
     keep_alive: Option<Duration>,
     closes: bool,
     has_started: bool,
-    silence: silence::Silence,
 }
 
 impl Reader {
@@ -80,44 +77,26 @@
             keep_alive: response.keep_alive,
             closes: response.closes,
             has_started: false,
-            silence: silence::Silence::start(),
         }
     }
 
-    /// Reads the whole body. `None` if it is larger than `max_bytes`, breaks off, or takes longer
-    /// than `limit`.
-    pub async fn collect(&mut self, max_bytes: usize, limit: Duration) -> Option<Bytes> {
+    /// Reads the whole body. `None` if it is larger than `max_bytes` or breaks off.
+    pub async fn collect(&mut self, max_bytes: usize) -> Option<Bytes> {
         let mut out = BytesMut::new();
-        let reading = async {
-            while let Some(frame) = self.body.frame().await {
-                if let Some(data) = frame.ok()?.data_ref() {
-                    out.extend_from_slice(data);
-                }
-                if out.len() > max_bytes {
-                    return None;
-                }
+        while let Some(frame) = self.body.frame().await {
+            if let Some(data) = frame.ok()?.data_ref() {
+                out.extend_from_slice(data);
             }
-            Some(())
-        };
-        time::timeout(limit, reading).await.ok()??;
+            if out.len() > max_bytes {
+                return None;
+            }
+        }
         self.release_conn();
         Some(out.freeze())
     }
 
-    /// Since when nothing came from the server.
-    pub fn silence(&self) -> silence::Silence {
-        self.silence
-    }
-
-    /// Reads the next events. After `quiet` without any the server is probed. If it does not answer,
-    /// `may_leave` decides whether the request leaves it. Cancel safe: it may be called again after
-    /// its future was dropped.
-    pub async fn next(
-        &mut self,
-        quiet: Duration,
-        may_leave: impl Fn(silence::Silence) -> bool,
-    ) -> Next {
-        let mut stays = false;
+    /// Reads the next events. Cancel safe: it may be called again after its future was dropped.
+    pub async fn next(&mut self) -> Next {
         loop {
             let chunk = self.take_events();
             if chunk.events > 0 {
@@ -127,22 +106,7 @@
                 }
                 return Next::Chunk(chunk);
             }
-            let frame = {
-                let probed = &mut self.silence.probed;
-                let dead = self.direct.until_unresponsive(&self.server, quiet, probed);
-                tokio::select! {
-                    frame = self.body.frame() => frame,
-                    () = dead, if !stays => {
-                        if may_leave(self.silence) {
-                            return Next::Lost(retry::Failure::Silent);
-                        }
-                        stays = true;
-                        continue;
-                    }
-                }
-            };
-            self.silence = silence::Silence::start();
-            match frame {
+            match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let data = frame.data_ref().map_or(&[][..], |data| data);
                     if !self.splitter.push(data) {
