Log a connection that closes with a request head in part

Callers saw a connection end without an answer, and the log had no line on it: what hyper had read of a head was dropped with the connection when its read timeout ended. Event 224 tells how many bytes had come. A connection that closes with nothing read is usual and has no line. The bytes are looked at only when the timeout ends, so requests cost nothing more.

--- a/src/edge/direct/listener.rs
+++ b/src/edge/direct/listener.rs
@@ -54,6 +54,9 @@
 
     /// Time that a connection may be idle before the head of its next request is complete.
     fn idle_timeout(&self) -> Duration;
+
+    /// Logs that a connection closed with this many bytes of an incomplete request head.
+    fn log_partial(&self, _bytes: usize) {}
 }
 
 /// How far a listener has shut down.
@@ -127,6 +130,7 @@
     }
     let idle = handler.idle_timeout();
     let current = stage.clone();
+    let closed = Arc::clone(&handler);
     let service = service::service_fn(move |request| {
         let handler = Arc::clone(&handler);
         let current = current.clone();
@@ -139,18 +143,25 @@
             Ok::<_, Infallible>(response)
         }
     });
-    let conn = http1::Builder::new()
+    let mut conn = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
         .serve_connection(TokioIo::new(tcp), service);
-    tokio::pin!(conn);
     let closing = async {
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
     };
-    tokio::select! {
-        // The caller of a failed connection is gone, so the error has nobody to go to.
-        _ = conn.as_mut() => return,
-        () = closing => conn.as_mut().graceful_shutdown(),
+    let ended = tokio::select! {
+        ended = &mut conn => ended,
+        () = closing => {
+            Pin::new(&mut conn).graceful_shutdown();
+            (&mut conn).await
+        }
+    };
+    // The caller of a connection that failed otherwise is gone.
+    if ended.is_err_and(|err| err.is_timeout()) {
+        let partial = conn.into_parts().read_buf;
+        if !partial.is_empty() {
+            closed.log_partial(partial.len());
+        }
     }
-    let _ = conn.await;
 }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -31,6 +31,8 @@
 use crate::direct::home;
 use crate::direct::register;
 use crate::direct::retry;
+use crate::edge::event::Event;
+use crate::log_event;
 use crate::wire::id;
 
 /// Longest wait of a request for the first configuration or the first backend server that this
@@ -116,6 +118,15 @@
         let limits = self.catalog().map(|catalog| *catalog.limits());
         limits.unwrap_or_default().idle_timeout
     }
+
+    fn log_partial(&self, bytes: usize) {
+        if self
+            .log_limiter
+            .allow(Event::RequestPartial, self.node.now())
+        {
+            log_event!(self.node.log(), Event::RequestPartial, "bytes" => bytes);
+        }
+    }
 }
 
 impl Direct {
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -78,6 +78,7 @@
     PeerLost = 221, Warning, "another process has gone silent";
     ServerCold = 222, Info, "backend server is cold: it gets granted requests only";
     ServerSilent = 223, Info, "request leaves a silent backend server, or stays with it";
+    RequestPartial = 224, Warning, "caller's connection closed with a request that had come in part";
     DocumentInForce = 230, Info, "published configuration in force";
     DocumentRefused = 231, Warning, "published configuration refused: it has findings";
     DocumentTaken = 232, Info, "change of the published configuration answered";
