Go by the idle timeout in force when a connection's wait ends

What callers saw: a configuration lengthened the idle timeout, they reused a connection by it, and the connection closed. Cause: the timeout was read once, when the connection was accepted, and counted for its whole life. Why it works: the timer of a wait asks for the timeout in force when it fires, and goes on if it is not over. No timer fires more often than the timeout before the change, and a change wakes nobody. A shorter timeout counts from the next wait on: whoever went by the former one may still send during the wait under way, which ends by the former timeout at the latest. Ruled out: the close loses no request that was read. A head that has come whole is parsed before the timer is looked at.

--- a/src/edge/direct/listener.rs
+++ b/src/edge/direct/listener.rs
@@ -9,7 +9,10 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
+use std::task;
+use std::task::Poll;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::header;
@@ -17,10 +20,10 @@
 use http_body_util::Full;
 use http_body_util::StreamBody;
 use hyper::body;
+use hyper::rt;
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
-use hyper_util::rt::TokioTimer;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -90,6 +93,52 @@
     }
 }
 
+/// Times the waits for request heads of one connection.
+struct Timer<H>(Arc<H>);
+
+impl<H: Handler> rt::Timer for Timer<H> {
+    fn sleep(&self, duration: Duration) -> Pin<Box<dyn rt::Sleep>> {
+        self.sleep_until(self.now() + duration)
+    }
+
+    /// A wait that begins at `began`: the connection's own timeout is zero.
+    fn sleep_until(&self, began: Instant) -> Pin<Box<dyn rt::Sleep>> {
+        let due = began + self.0.idle_timeout();
+        Box::pin(Wait {
+            handler: Arc::clone(&self.0),
+            began,
+            alarm: Box::pin(time::sleep_until(due.into())),
+        })
+    }
+}
+
+/// A wait for a request head. Ends when the timeout in force has passed.
+struct Wait<H> {
+    handler: Arc<H>,
+    began: Instant,
+    /// Due by the timeout that was in force when it was set. A timeout that became longer since is
+    /// looked up when it fires; a shorter one counts from the next wait on, as the caller may still
+    /// go by the former.
+    alarm: Pin<Box<time::Sleep>>,
+}
+
+impl<H: Handler> Future for Wait<H> {
+    type Output = ();
+
+    fn poll(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<()> {
+        loop {
+            task::ready!(self.alarm.as_mut().poll(cx));
+            let due = self.began + self.handler.idle_timeout();
+            if due <= Instant::now() {
+                return Poll::Ready(());
+            }
+            self.alarm.as_mut().reset(due.into());
+        }
+    }
+}
+
+impl<H: Handler> rt::Sleep for Wait<H> {}
+
 /// Serves connections until `stage` is [`Stage::Closing`]. Then new connections are refused, so
 /// that their callers try another process at once.
 pub async fn serve<H: Handler>(
@@ -128,7 +177,7 @@
         // The caller has disconnected already.
         return;
     }
-    let idle = handler.idle_timeout();
+    let waiting = Arc::clone(&handler);
     let current = stage.clone();
     let closed = Arc::clone(&handler);
     let service = service::service_fn(move |request| {
@@ -144,8 +193,9 @@
         }
     });
     let mut conn = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
+        .timer(Timer(waiting))
+        // Each wait asks for the timeout in force when it would end.
+        .header_read_timeout(Duration::ZERO)
         .serve_connection(TokioIo::new(tcp), service);
     let closing = async {
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
