Give a head that has begun its own timeout

What callers saw: a caller that reused a connection late in its idle time and sent its head in two parts, each within its limit, lost the connection without an answer. Cause: the head timeout of the configuration was read and used nowhere. The idle timeout ran on while a head came. Why it works: the connection notes that bytes have arrived, and the wait ends at the later of the idle timeout and the head's. Only a head that comes in parts costs a look at the clock. No connection closes sooner than before.

--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -286,8 +286,11 @@
         response
     }
 
-    fn idle_timeout(&self) -> Duration {
-        Duration::from_secs(10)
+    fn timeouts(&self) -> listener::Timeouts {
+        listener::Timeouts {
+            idle: Duration::from_secs(10),
+            head: Duration::from_secs(3),
+        }
     }
 }
 
--- a/src/edge/direct/listener.rs
+++ b/src/edge/direct/listener.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task;
@@ -24,6 +25,9 @@
 use hyper::server::conn::http1;
 use hyper::service;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -48,6 +52,15 @@
     Either::Right(StreamBody::new(chunks))
 }
 
+/// Timeouts on callers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Timeouts {
+    /// Time that a connection may be idle.
+    pub idle: Duration,
+    /// Time for the rest of a request's head after its first bytes.
+    pub head: Duration,
+}
+
 /// Handles the requests of a listener.
 pub trait Handler: Send + Sync + 'static {
     fn handle(
@@ -55,8 +68,8 @@
         request: http::Request<body::Incoming>,
     ) -> impl Future<Output = http::Response<Body>> + Send;
 
-    /// Time that a connection may be idle before the head of its next request is complete.
-    fn idle_timeout(&self) -> Duration;
+    /// Timeouts in force on callers.
+    fn timeouts(&self) -> Timeouts;
 
     /// Logs that a connection closed with this many bytes of an incomplete request head.
     fn log_partial(&self, _bytes: usize) {}
@@ -93,8 +106,62 @@
     }
 }
 
+/// A caller's connection. Notes that bytes have arrived.
+struct Stream {
+    tcp: TcpStream,
+    has_read: Arc<AtomicBool>,
+}
+
+impl AsyncRead for Stream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.tcp).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.has_read.store(true, Ordering::Relaxed);
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Stream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut task::Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+}
+
 /// Times the waits for request heads of one connection.
-struct Timer<H>(Arc<H>);
+struct Timer<H> {
+    handler: Arc<H>,
+    has_read: Arc<AtomicBool>,
+}
 
 impl<H: Handler> rt::Timer for Timer<H> {
     fn sleep(&self, duration: Duration) -> Pin<Box<dyn rt::Sleep>> {
@@ -103,32 +170,54 @@
 
     /// A wait that begins at `began`: the connection's own timeout is zero.
     fn sleep_until(&self, began: Instant) -> Pin<Box<dyn rt::Sleep>> {
-        let due = began + self.0.idle_timeout();
+        self.has_read.store(false, Ordering::Relaxed);
+        let due = began + self.handler.timeouts().idle;
         Box::pin(Wait {
-            handler: Arc::clone(&self.0),
+            handler: Arc::clone(&self.handler),
+            has_read: Arc::clone(&self.has_read),
             began,
+            head_began: None,
             alarm: Box::pin(time::sleep_until(due.into())),
         })
     }
 }
 
-/// A wait for a request head. Ends when the timeout in force has passed.
+/// A wait for a request head. Ends when the timeouts in force have passed.
 struct Wait<H> {
     handler: Arc<H>,
+    /// Whether bytes have arrived since the wait began.
+    has_read: Arc<AtomicBool>,
     began: Instant,
-    /// Due by the timeout that was in force when it was set. A timeout that became longer since is
-    /// looked up when it fires; a shorter one counts from the next wait on, as the caller may still
-    /// go by the former.
+    /// When the first bytes of the head arrived.
+    head_began: Option<Instant>,
+    /// Due by the idle timeout that was in force when it was set. A timeout that became longer since
+    /// is looked up when it fires; a shorter one counts from the next wait on, as the caller may
+    /// still go by the former.
     alarm: Pin<Box<time::Sleep>>,
 }
 
+impl<H: Handler> Wait<H> {
+    /// When the wait ends by the timeouts in force.
+    fn due(&self) -> Instant {
+        let timeouts = self.handler.timeouts();
+        let idle = self.began + timeouts.idle;
+        match self.head_began {
+            Some(began) => idle.max(began + timeouts.head),
+            None => idle,
+        }
+    }
+}
+
 impl<H: Handler> Future for Wait<H> {
     type Output = ();
 
     fn poll(mut self: Pin<&mut Self>, cx: &mut task::Context<'_>) -> Poll<()> {
+        if self.head_began.is_none() && self.has_read.load(Ordering::Relaxed) {
+            self.head_began = Some(Instant::now());
+        }
         loop {
             task::ready!(self.alarm.as_mut().poll(cx));
-            let due = self.began + self.handler.idle_timeout();
+            let due = self.due();
             if due <= Instant::now() {
                 return Poll::Ready(());
             }
@@ -177,7 +266,12 @@
         // The caller has disconnected already.
         return;
     }
-    let waiting = Arc::clone(&handler);
+    let has_read = Arc::new(AtomicBool::new(false));
+    let timer = Timer {
+        handler: Arc::clone(&handler),
+        has_read: Arc::clone(&has_read),
+    };
+    let stream = Stream { tcp, has_read };
     let current = stage.clone();
     let closed = Arc::clone(&handler);
     let service = service::service_fn(move |request| {
@@ -193,10 +287,10 @@
         }
     });
     let mut conn = http1::Builder::new()
-        .timer(Timer(waiting))
+        .timer(timer)
         // Each wait asks for the timeout in force when it would end.
         .header_read_timeout(Duration::ZERO)
-        .serve_connection(TokioIo::new(tcp), service);
+        .serve_connection(TokioIo::new(stream), service);
     let closing = async {
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
     };
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -114,9 +114,13 @@
         self.relay(context, span).await
     }
 
-    fn idle_timeout(&self) -> Duration {
+    fn timeouts(&self) -> listener::Timeouts {
         let limits = self.catalog().map(|catalog| *catalog.limits());
-        limits.unwrap_or_default().idle_timeout
+        let limits = limits.unwrap_or_default();
+        listener::Timeouts {
+            idle: limits.idle_timeout,
+            head: limits.head_timeout,
+        }
     }
 
     fn log_partial(&self, bytes: usize) {
