Answer 408 to a request that does not come whole in time

What callers saw: a connection that ended without an answer when the rest of a request's head did not come in time; and after a body that did not come, a 408 that left the connection open by its text, and a close. Cause: hyper drops the connection when its read timeout ends, whatever has come. It learns of a body that is not read only after the response's head is written. Why it works: what hyper had read is taken back from the ended connection; if that is the beginning of a head, 408 goes to the same socket. The status is true: nothing of the request has run.

--- a/src/edge/direct/listener.rs
+++ b/src/edge/direct/listener.rs
@@ -16,6 +16,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http::header;
 use http_body_util::Either;
 use http_body_util::Full;
@@ -36,6 +37,10 @@
 /// Delay after a failed accept, as when all file descriptors are in use.
 const ACCEPT_DELAY: Duration = Duration::from_millis(50);
 
+/// Answers a request head that did not come whole in time.
+const TIMED_OUT: &[u8] =
+    b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
+
 /// Chunks of a streamed body.
 pub type Chunks = Pin<Box<dyn futures_core::Stream<Item = io::Result<body::Frame<Bytes>>> + Send>>;
 
@@ -279,7 +284,8 @@
         let current = current.clone();
         async move {
             let mut response = handler.handle(request).await;
-            if *current.borrow() != Stage::Open {
+            let is_partial = response.status() == StatusCode::REQUEST_TIMEOUT;
+            if is_partial || *current.borrow() != Stage::Open {
                 let close = header::HeaderValue::from_static("close");
                 response.headers_mut().insert(header::CONNECTION, close);
             }
@@ -303,9 +309,11 @@
     };
     // The caller of a connection that failed otherwise is gone.
     if ended.is_err_and(|err| err.is_timeout()) {
-        let partial = conn.into_parts().read_buf;
-        if !partial.is_empty() {
-            closed.log_partial(partial.len());
+        let parts = conn.into_parts();
+        if !parts.read_buf.is_empty() {
+            closed.log_partial(parts.read_buf.len());
+            // Nothing else was sent lately, so it fits into the socket's buffer.
+            let _ = parts.io.into_inner().tcp.try_write(TIMED_OUT);
         }
     }
 }
