Stand-in: crashes on a prompt part, answers that end with their connection

Change: crash_on names a part and how it crashes (connections reset and new ones refused, or all silent); it is back at the same address under a new id, by which the site beats for it. frame makes bodies end with their connection, announced or not; Mood::Resets resets a connection in the middle of a body. received, crashes, life and is_up tell what came and when. No existing test asks for any of it.

--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -14,6 +14,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task;
 use tokio::time;
 
@@ -40,6 +41,13 @@
         self.headers.get(name).map_or("", String::as_str)
     }
 
+    /// Whether its prompt holds a part.
+    pub fn has_part(&self, id: &str) -> bool {
+        let parts = self.header("x-prompt-prefix").split(',');
+        let mut ids = parts.filter_map(|part| part.trim().split(':').next());
+        ids.any(|part| part == id)
+    }
+
     fn is(&self, part: &str) -> bool {
         self.line.contains(part)
     }
@@ -60,10 +68,59 @@
     Mute,
     /// It stops in the middle of a stream, and leaves its connection open.
     Stalls,
+    /// It resets the connection in the middle of a body, streams after their fifth event.
+    Resets,
     /// It answers with bytes of another request's answer before the right one.
     Doubles,
 }
 
+/// What ends the body of an answer to a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Framing {
+    /// Its length, or its last chunk.
+    #[default]
+    Framed,
+    /// The end of its connection, which `Connection: close` announces or nothing does.
+    Unframed { announced: bool },
+}
+
+impl Framing {
+    /// The header line that tells of the body's end. `framed`: the one of its length or chunks.
+    fn line(self, framed: &str) -> &str {
+        match self {
+            Self::Framed => framed,
+            Self::Unframed { announced: true } => "Connection: close\r\n",
+            Self::Unframed { announced: false } => "",
+        }
+    }
+
+    fn chunk(self, text: &str) -> String {
+        match self {
+            Self::Framed => format!("{:x}\r\n{text}\r\n", text.len()),
+            Self::Unframed { .. } => text.to_owned(),
+        }
+    }
+}
+
+/// How it crashes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Crash {
+    /// Time from the beginning of the answer to the crash.
+    pub after: Duration,
+    /// Its connections go silent. Otherwise they are reset, and new ones are refused.
+    pub is_dark: bool,
+    /// Time until its next life begins, at the same address.
+    pub down: Duration,
+}
+
+/// A life, from its start to the next start.
+#[derive(Clone, Copy, Debug, Default)]
+struct Life {
+    number: usize,
+    /// How it has ended.
+    crash: Option<Crash>,
+}
+
 /// Memory set aside under an id.
 #[derive(Clone, Copy, Debug)]
 struct Ticket {
@@ -83,15 +140,21 @@
     reserve_delay: Option<Duration>,
     /// Requests a second that it takes from all, if it names a limit.
     limit: Option<f64>,
+    framing: Framing,
+    /// The prompt part under which it crashes.
+    fatal: Option<(String, Crash)>,
+    life: watch::Sender<Life>,
+    crashes: Vec<Instant>,
     /// When anything arrived: requests, questions and orders alike.
     arrivals: Vec<Instant>,
+    received: Vec<(Instant, Request)>,
     ran: Vec<Request>,
     tickets: BTreeMap<String, Ticket>,
 }
 
 /// A running stand-in.
 pub struct Replica {
-    /// Its life.
+    /// Its first life.
     pub id: String,
     /// Where it listens.
     pub addr: SocketAddr,
@@ -117,13 +180,28 @@
         let shared = (id.to_owned(), Arc::clone(&state), Arc::clone(&working));
         let opened = Arc::clone(&open);
         let task = tokio::spawn(async move {
-            while let Ok((tcp, _)) = listener.accept().await {
+            let mut listener = listener;
+            loop {
                 let (id, state, working) = shared.clone();
-                let counted = Work::begin(&opened);
-                tokio::spawn(async move {
-                    connection(tcp, id, state, working).await;
-                    drop(counted);
-                });
+                let mut life = state.lock().expect("state lock").life.subscribe();
+                let number = life.borrow().number;
+                let shared = (life_id(&id, number), Arc::clone(&state), working);
+                let crash = tokio::select! {
+                    crash = crashed(&mut life) => crash,
+                    () = accept(&listener, &shared, &opened) => return,
+                };
+                let held = crash.is_dark.then_some(listener);
+                time::sleep(crash.down).await;
+                drop(held);
+                let Ok(bound) = TcpListener::bind(addr).await else {
+                    return;
+                };
+                listener = bound;
+                let next = Life {
+                    number: number + 1,
+                    crash: None,
+                };
+                state.lock().expect("state lock").life.send_replace(next);
             }
         });
         Ok(Self {
@@ -160,6 +238,38 @@
         self.state.lock().expect("state lock").reserve_delay = delay;
     }
 
+    /// Changes what ends the bodies of its answers to requests.
+    pub fn frame(&self, framing: Framing) {
+        self.state.lock().expect("state lock").framing = framing;
+    }
+
+    /// From now on it crashes whenever it begins to answer a request with this prompt part.
+    pub fn crash_on(&self, part: &str, crash: Crash) {
+        self.state.lock().expect("state lock").fatal = Some((part.to_owned(), crash));
+    }
+
+    /// Id of its newest life.
+    pub fn life(&self) -> String {
+        let life = *self.state.lock().expect("state lock").life.borrow();
+        life_id(&self.id, life.number)
+    }
+
+    /// Whether that life goes on.
+    pub fn is_up(&self) -> bool {
+        let life = *self.state.lock().expect("state lock").life.borrow();
+        life.crash.is_none()
+    }
+
+    /// When it crashed.
+    pub fn crashes(&self) -> Vec<Instant> {
+        self.state.lock().expect("state lock").crashes.clone()
+    }
+
+    /// Requests that arrived, also those that it did not run.
+    pub fn received(&self) -> Vec<(Instant, Request)> {
+        self.state.lock().expect("state lock").received.clone()
+    }
+
     /// Names a limit in all answers from now on, or none.
     pub fn limit(&self, per_second: Option<f64>) {
         self.state.lock().expect("state lock").limit = per_second;
@@ -210,13 +320,61 @@
     }
 }
 
+/// What the connections of a life share: its id, its state, and its requests in progress.
+type Shared = (String, Arc<Mutex<State>>, Arc<AtomicUsize>);
+
+fn life_id(first: &str, number: usize) -> String {
+    match number {
+        0 => first.to_owned(),
+        _ => format!("{first}-{number}"),
+    }
+}
+
+/// Waits until the life that runs has crashed.
+async fn crashed(life: &mut watch::Receiver<Life>) -> Crash {
+    // An error: the stand-in has been dropped.
+    let Ok(ended) = life.wait_for(|life| life.crash.is_some()).await else {
+        return std::future::pending().await;
+    };
+    ended.crash.expect("it has just crashed")
+}
+
+/// Accepts connections until the listener fails.
+async fn accept(listener: &TcpListener, shared: &Shared, opened: &Arc<AtomicUsize>) {
+    while let Ok((mut tcp, _)) = listener.accept().await {
+        let (id, state, working) = shared.clone();
+        let counted = Work::begin(opened);
+        let mut life = state.lock().expect("state lock").life.subscribe();
+        let number = life.borrow().number;
+        tokio::spawn(async move {
+            tokio::select! {
+                () = connection(&mut tcp, id, state, working) => {}
+                crash = crashed(&mut life) => {
+                    if crash.is_dark {
+                        // Ends with the stand-in at the latest.
+                        let _ = life.wait_for(|life| life.number > number).await;
+                    }
+                    reset(&tcp);
+                }
+            }
+            drop(counted);
+        });
+    }
+}
+
+/// Makes the close of a connection a reset.
+fn reset(tcp: &TcpStream) {
+    // Fails only if the connection has ended already.
+    let _ = tcp.set_zero_linger();
+}
+
 async fn connection(
-    mut tcp: TcpStream,
+    tcp: &mut TcpStream,
     id: String,
     state: Arc<Mutex<State>>,
     working: Arc<AtomicUsize>,
 ) {
-    while let Some(request) = read(&mut tcp).await {
+    while let Some(request) = read(tcp).await {
         let (mut rx, mut tx) = tcp.split();
         let served = serve(&mut tx, &id, &state, &working, request);
         let mut probe = [0; 1];
@@ -226,12 +384,14 @@
             awake(&state).await;
         };
         let keep = tokio::select! {
-            served = served => served.unwrap_or(false),
+            served = served => served,
             // The caller has gone, or sends what nobody asked for.
-            () = left => false,
+            () = left => Ok(false),
         };
-        if !keep {
-            return;
+        match keep {
+            Ok(true) => {}
+            Ok(false) => return,
+            Err(_) => return reset(tcp),
         }
     }
 }
@@ -295,6 +455,10 @@
     if request.is("POST /v1/order") {
         return order(tx, state, request).await;
     }
+    if !request.is("GET /v1/report") {
+        let received = (Instant::now(), request.clone());
+        state.lock().expect("state lock").received.push(received);
+    }
     awake(state).await;
     let limit = record_arrival(state);
     if request.is("GET /v1/report") {
@@ -308,7 +472,10 @@
     if request.header("x-expect-instance") != id {
         return answer(tx, "421 Misdirected Request", &echo, b"").await;
     }
-    let mood = state.lock().expect("state lock").mood;
+    let (mood, framing, fatal) = {
+        let state = state.lock().expect("state lock");
+        (state.mood, state.framing, state.fatal.clone())
+    };
     if mood == Mood::Full {
         let head = format!("{echo}X-Not-Executed: 1\r\n");
         return answer(tx, "503 Service Unavailable", &head, b"").await;
@@ -316,10 +483,18 @@
     state.lock().expect("state lock").ran.push(request.clone());
     let _work = Work::begin(working);
     let sealed = format!("{echo}X-Response-Seal: seal-of-{id}\r\n");
+    let fatal = fatal.filter(|(part, _)| request.has_part(part));
+    if let Some((_, crash)) = fatal {
+        let begin = begin(tx, state, framing, &sealed, &request);
+        // Its end does not matter: the crash ends it in any case.
+        let _ = time::timeout(crash.after, begin).await;
+        end_life(state, crash);
+        return std::future::pending().await;
+    }
     match mood {
         Mood::Mute => std::future::pending().await,
         Mood::Breaks if !request.is("/stream/") => Ok(false),
-        _ if request.is("/stream/") => stream(tx, state, mood, &sealed, &request).await,
+        _ if request.is("/stream/") => stream(tx, state, mood, framing, &sealed, &request).await,
         Mood::Doubles => {
             let other = "X-Request-Id: of-another\r\nX-Response-Seal: s\r\n";
             answer(tx, "200 OK", other, b"not yours").await
@@ -328,19 +503,74 @@
             time::sleep(Duration::from_secs(30)).await;
             answer(tx, "200 OK", &sealed, b"late").await
         }
-        _ => answer(tx, "200 OK", &sealed, b"whole").await,
+        _ => whole(tx, mood, framing, &sealed).await,
     }
 }
 
+fn end_life(state: &Mutex<State>, crash: Crash) {
+    let mut state = state.lock().expect("state lock");
+    let is_new = state.life.send_if_modified(|life| {
+        let is_new = life.crash.is_none();
+        life.crash.get_or_insert(crash);
+        is_new
+    });
+    if is_new {
+        state.crashes.push(Instant::now());
+    }
+}
+
+/// Begins an answer and never ends it.
+async fn begin(
+    tx: &mut (impl AsyncWriteExt + Unpin),
+    state: &Mutex<State>,
+    framing: Framing,
+    head: &str,
+    request: &Request,
+) -> std::io::Result<()> {
+    if request.is("/stream/") {
+        stream(tx, state, Mood::Stalls, framing, head, request).await?;
+    }
+    half(tx, framing, head).await?;
+    std::future::pending().await
+}
+
+/// The head of an answer and a part of its body.
+async fn half(
+    tx: &mut (impl AsyncWriteExt + Unpin),
+    framing: Framing,
+    head: &str,
+) -> std::io::Result<()> {
+    let end = framing.line("Content-Length: 5\r\n");
+    let half = format!("HTTP/1.1 200 OK\r\n{head}{end}\r\nwh");
+    tx.write_all(half.as_bytes()).await
+}
+
+async fn whole(
+    tx: &mut (impl AsyncWriteExt + Unpin),
+    mood: Mood,
+    framing: Framing,
+    head: &str,
+) -> std::io::Result<bool> {
+    half(tx, framing, head).await?;
+    if mood == Mood::Resets {
+        time::sleep(PAUSE).await;
+        return Err(std::io::ErrorKind::ConnectionReset.into());
+    }
+    tx.write_all(b"ole").await?;
+    Ok(framing == Framing::Framed)
+}
+
 async fn stream(
     tx: &mut (impl AsyncWriteExt + Unpin),
     state: &Mutex<State>,
     mood: Mood,
+    framing: Framing,
     head: &str,
     request: &Request,
 ) -> std::io::Result<bool> {
     let head = format!(
-        "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\n{head}Content-Type: text/event-stream\r\n{}\r\n",
+        framing.line("Transfer-Encoding: chunked\r\n")
     );
     tx.write_all(head.as_bytes()).await?;
     let after: usize = request.header("last-event-id").parse().unwrap_or(0);
@@ -351,18 +581,21 @@
         let event = format!("id: {id}\ndata: token {id}\n\n");
         if mood == Mood::Breaks && id == after + 6 {
             let half = &event[..event.len() / 2];
-            let chunk = format!("{:x}\r\n{half}\r\n", half.len());
-            tx.write_all(chunk.as_bytes()).await?;
+            tx.write_all(framing.chunk(half).as_bytes()).await?;
             return Ok(false);
         }
+        if mood == Mood::Resets && id == after + 6 {
+            return Err(std::io::ErrorKind::ConnectionReset.into());
+        }
         if mood == Mood::Stalls && id == after + 6 {
             std::future::pending::<()>().await;
         }
-        let chunk = format!("{:x}\r\n{event}\r\n", event.len());
-        tx.write_all(chunk.as_bytes()).await?;
+        tx.write_all(framing.chunk(&event).as_bytes()).await?;
     }
-    tx.write_all(b"0\r\n\r\n").await?;
-    Ok(true)
+    if framing == Framing::Framed {
+        tx.write_all(b"0\r\n\r\n").await?;
+    }
+    Ok(framing == Framing::Framed)
 }
 
 /// Carries an order out. One that has arrived is carried out even if its sender has gone.
