Reserve orders without an answer are logged (253)

A reserve order that got no answer left no line, so a renewal that is carried out after the release could not be told from one that was lost. Event 253 has the ticket, the server, the ticket's age, and whether the order was sent at all; 251 and 252 have the age too, and 251 the status of the release, which shows a release that the server rejected.

--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -46,6 +46,17 @@
     server: register::Instance,
     ticket: String,
     tokens: u64,
+    /// When its first order was sent.
+    began: Duration,
+}
+
+/// Why an order got no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Unanswered {
+    /// There was no connection, so it can't be carried out.
+    Unsent,
+    /// It was sent, and may still be carried out.
+    Sent,
 }
 
 /// Memory reserved for one request. Dropping it releases all of it.
@@ -73,6 +84,7 @@
                 server: one.server.life,
                 ticket: format!("{name}-{at}"),
                 tokens: one.tokens,
+                began: direct.node.now(),
             };
             // Recorded before the order is sent: one without an answer may still be carried out, and
             // must be released with the rest.
@@ -128,16 +140,23 @@
     let tries = direct.hold().as_millis() / RELEASE_PAUSE.as_millis().max(1);
     for _ in 0..=tries {
         let (path, body) = direct.dialect.release(&held.ticket);
-        if direct.order(&held, path, body).await.is_some() {
+        if let Ok(status) = direct.order(&held, path, body).await {
             log_event!(direct.node.log(), Event::MemoryReleased, "server" => &held.server,
-                "ticket" => &held.ticket, "tokens" => held.tokens);
+                "ticket" => &held.ticket, "tokens" => held.tokens, "status" => status.as_u16(),
+                "age_ms" => held.age_ms(&direct));
             return;
         }
         time::sleep(RELEASE_PAUSE).await;
     }
     // By now the reservation has expired.
     log_event!(direct.node.log(), Event::MemoryStuck, "server" => &held.server,
-        "ticket" => &held.ticket);
+        "ticket" => &held.ticket, "age_ms" => held.age_ms(&direct));
+}
+
+impl Held {
+    fn age_ms(&self, direct: &Direct) -> u64 {
+        direct.node.now().saturating_sub(self.began).as_millis() as u64
+    }
 }
 
 impl Direct {
@@ -148,8 +167,15 @@
 
     async fn reserve_memory(&self, held: &Held) -> bool {
         let (path, body) = self.dialect.reserve(&held.ticket, held.tokens, self.hold());
-        let status = self.order(held, path, body).await;
-        status.is_some_and(|status| status.is_success())
+        let answer = self.order(held, path, body).await;
+        if let Err(why) = answer
+            && (self.log_limiter).allow(Event::MemoryOrderUnanswered, self.node.now())
+        {
+            log_event!(self.node.log(), Event::MemoryOrderUnanswered, "server" => &held.server,
+                "ticket" => &held.ticket, "age_ms" => held.age_ms(self),
+                "sent" => why == Unanswered::Sent);
+        }
+        answer.is_ok_and(|status| status.is_success())
     }
 
     /// Sends an order to a server, and returns the status of its response.
@@ -158,7 +184,8 @@
         held: &Held,
         path: &'static str,
         body: Vec<u8>,
-    ) -> Option<http::StatusCode> {
+    ) -> Result<http::StatusCode, Unanswered> {
+        let mut unanswered = Unanswered::Unsent;
         let response = async {
             let mut conn = pool::Conn::open(held.addr).await.ok()?;
             let request = http::Request::post(path)
@@ -168,6 +195,7 @@
                 .ok()?;
             let sent = self.record_sent(&held.server, tally::Kind::Order);
             self.charge(&held.server);
+            unanswered = Unanswered::Sent;
             let response = conn.send(request).await.ok()?;
             let status = response.status();
             let headers = response.headers();
@@ -176,6 +204,7 @@
             let _ = response.into_body().collect().await;
             Some(status)
         };
-        time::timeout(ORDER_TIMEOUT, response).await.ok()?
+        let status = time::timeout(ORDER_TIMEOUT, response).await;
+        status.ok().flatten().ok_or(unanswered)
     }
 }
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -91,6 +91,7 @@
     LinesLeftOut = 250, Warning, "lines left out to bound the log";
     MemoryReleased = 251, Info, "memory set aside at a backend server released";
     MemoryStuck = 252, Warning, "memory set aside at a backend server could not be released yet";
+    MemoryOrderUnanswered = 253, Warning, "order to set memory aside got no answer";
 }
 
 impl slog::Value for register::Instance {
