--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -70,6 +70,8 @@
     Stalls,
     /// It resets the connection in the middle of a body, streams after their fifth event.
     Resets,
+    /// Its streams have large events and no end.
+    Floods,
     /// It answers with bytes of another request's answer before the right one.
     Doubles,
 }
@@ -138,6 +140,8 @@
     stalled_until: Option<time::Instant>,
     /// Delay after which reserve orders are carried out. They get no answer then.
     reserve_delay: Option<Duration>,
+    /// Whether it rejects release orders as too busy.
+    rejects_releases: bool,
     /// Requests a second that it takes from all, if it names a limit.
     limit: Option<f64>,
     framing: Framing,
@@ -270,6 +274,11 @@
         self.state.lock().expect("state lock").received.clone()
     }
 
+    /// From now on release orders are rejected and do nothing, or are carried out again.
+    pub fn reject_releases(&self, rejects: bool) {
+        self.state.lock().expect("state lock").rejects_releases = rejects;
+    }
+
     /// Names a limit in all answers from now on, or none.
     pub fn limit(&self, per_second: Option<f64>) {
         self.state.lock().expect("state lock").limit = per_second;
@@ -574,6 +583,15 @@
     );
     tx.write_all(head.as_bytes()).await?;
     let after: usize = request.header("last-event-id").parse().unwrap_or(0);
+    if mood == Mood::Floods {
+        let text = "x".repeat(64 << 10);
+        for id in after + 1.. {
+            awake(state).await;
+            let event = format!("id: {id}\ndata: {text}\n\n");
+            let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+            tx.write_all(chunk.as_bytes()).await?;
+        }
+    }
     for id in after + 1..=EVENTS {
         time::sleep(PAUSE).await;
         sleep_until(state, |state| state.stalled_until).await;
@@ -606,7 +624,14 @@
 ) -> std::io::Result<bool> {
     let order: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let reserves = order["operation"] == "reserve";
-    let delay = state.lock().expect("state lock").reserve_delay;
+    let (delay, rejects) = {
+        let state = state.lock().expect("state lock");
+        (state.reserve_delay, state.rejects_releases && !reserves)
+    };
+    if rejects {
+        let head = record_arrival(state);
+        return answer(tx, "503 Service Unavailable", &head, b"").await;
+    }
     let delay = delay.filter(|_| reserves);
     let shared = Arc::clone(state);
     let carried_out = tokio::spawn(async move {
