Memory is released for good, whatever becomes of its orders

What servers saw: memory was set aside again for the time of a reservation, 2.8 s, seconds after its release was acknowledged; and memory whose release was rejected with 503 stayed to the end of its own time. Cause: what became of an order was not kept. A renewal under way was aborted at the end of the request, so the release, on another connection, could overtake it. A reserve order without an answer may be carried out seconds later, and the release was sent once. Any status of a release counted as done, also 429 and 503. Renewals of all servers ran in one row, so one silent server delayed those of the others; at a server with a limit, two failures in a row could skip the next round and lose the reservation. Change: direct::ticket decides, without input or output, on the orders of one ticket; a task a ticket sends them one after the other, also after the request. While a reserve order without an answer may be carried out (13 s), the release is repeated each 1.2 s, so what is taken late is free within two seconds. Where all orders were answered there is one release, and none where nothing was taken. Rejections with 429 and 5xx are repeated each 0.4 s until the reservation has expired. A limited server is renewed with a third of the time left, which leaves room for two failures. Each reservation has tickets of its own, as a repeated release must not end the reservation of a caller's second request with one id.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -28,4 +28,5 @@
 pub mod sse;
 pub mod subset;
 pub mod tally;
+pub mod ticket;
 pub mod writing;
--- /dev/null
+++ b/src/direct/ticket.rs
@@ -0,0 +1,203 @@
+//! Memory that is set aside at one server for one attempt: what is known of it, and which order is
+//! due next.
+//!
+//! An order without an answer may be carried out seconds later, after newer ones. A reserve order may
+//! so take the memory again after a release that was answered. The release is then repeated until no
+//! such order can be carried out any more.
+
+use std::time::Duration;
+
+/// Renewals within the time of a reservation.
+const RENEWALS_PER_HOLD: u32 = 3;
+
+/// Time from the sending of an order that failed to its repetition. Two renewals may fail at a server
+/// with a limit, which is renewed when a third of the time of a reservation is left.
+const RETRY_PAUSE: Duration = Duration::from_millis(400);
+
+/// Time after which a reserve order without an answer is no longer carried out.
+pub const MAX_LATENESS: Duration = Duration::from_secs(13);
+
+/// Pause between releases while a reserve order may still be carried out. Memory that it takes is
+/// free again within two seconds, also if one release gets no answer.
+pub const REPEAT_PAUSE: Duration = Duration::from_millis(1_200);
+
+/// An order to a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Reserve the memory, or renew its reservation, for this time.
+    Reserve(Duration),
+    /// Release the memory.
+    Release,
+}
+
+/// What became of an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Answer {
+    /// It was carried out.
+    Done,
+    /// It does not fit the state of the server, or reached another instance.
+    Rejected,
+    /// The server was too busy or failed, and may carry out the same order later.
+    Busy,
+    /// There was no connection, so it can't be carried out.
+    Unsent,
+    /// It was sent and got no answer.
+    Missing,
+}
+
+/// How a ticket ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// No memory was ever taken.
+    Unused,
+    /// The memory is released.
+    Released,
+    /// The reservation expired before a release was carried out.
+    Expired,
+}
+
+/// What to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Step {
+    /// Send an order, and record what became of it.
+    Send(Order),
+    /// Nothing before this time, unless the view changes or the request ends.
+    Wait(Duration),
+    /// Nothing more.
+    Done(End),
+}
+
+/// What decides beside the ticket itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// The present time.
+    pub now: Duration,
+    /// Whether orders count against a limit of the server: it is renewed half as often.
+    pub is_limited: bool,
+}
+
+/// A reservation at one server. All times are on one clock.
+#[derive(Clone, Debug)]
+pub struct Ticket {
+    /// Time of a reservation.
+    hold: Duration,
+    /// Whether the request has ended, did not begin, or has lost its memory.
+    has_ended: bool,
+    /// No order is sent before this time.
+    quiet_until: Duration,
+    /// The order under way, and when it was sent.
+    under_way: Option<(Order, Duration)>,
+    /// End of the reservation, counted from the sending of the last reserve order that was carried
+    /// out. `None`: none was.
+    expires_at: Option<Duration>,
+    /// Until when a reserve order without an answer may be carried out.
+    late_until: Option<Duration>,
+    /// Whether a release was sent.
+    has_sent_release: bool,
+    /// When the last release that was carried out was sent.
+    released_at: Option<Duration>,
+}
+
+impl Ticket {
+    /// A ticket without memory yet, whose reservations last for `hold`.
+    pub fn new(hold: Duration) -> Self {
+        Self {
+            hold,
+            has_ended: false,
+            quiet_until: Duration::ZERO,
+            under_way: None,
+            expires_at: None,
+            late_until: None,
+            has_sent_release: false,
+            released_at: None,
+        }
+    }
+
+    /// The request has ended.
+    pub fn end(&mut self) {
+        self.has_ended = true;
+    }
+
+    /// Whether the request has ended, did not begin, or has lost its memory.
+    pub fn has_ended(&self) -> bool {
+        self.has_ended
+    }
+
+    /// What is due next. Not to be called while an order is under way.
+    pub fn next(&mut self, view: View) -> Step {
+        if !self.has_ended {
+            if let Some(step) = self.next_reserve(view) {
+                return step;
+            }
+            self.has_ended = true;
+        }
+        self.next_release(view.now)
+    }
+
+    /// Records that an order was sent.
+    pub fn sent(&mut self, now: Duration, order: Order) {
+        self.under_way = Some((order, now));
+        self.has_sent_release |= order == Order::Release;
+    }
+
+    /// Records what became of the order under way.
+    pub fn answered(&mut self, answer: Answer) {
+        let Some((order, sent_at)) = self.under_way.take() else {
+            return;
+        };
+        match (order, answer) {
+            (Order::Reserve(time), Answer::Done) => self.expires_at = Some(sent_at + time),
+            (Order::Reserve(_), _) => {
+                if answer == Answer::Missing {
+                    self.late_until = Some(sent_at + MAX_LATENESS);
+                }
+                // Without its memory a request does not begin.
+                self.has_ended |= self.expires_at.is_none();
+                self.quiet_until = sent_at + RETRY_PAUSE;
+            }
+            (Order::Release, Answer::Done | Answer::Rejected) => self.released_at = Some(sent_at),
+            (Order::Release, _) => self.quiet_until = sent_at + RETRY_PAUSE,
+        }
+    }
+
+    /// `None`: the reservation has expired. It is not taken again.
+    fn next_reserve(&self, view: View) -> Option<Step> {
+        let View { now, is_limited } = view;
+        let Some(expires_at) = self.expires_at else {
+            return Some(Step::Send(Order::Reserve(self.hold)));
+        };
+        if now >= expires_at {
+            return None;
+        }
+        let period = self.hold / RENEWALS_PER_HOLD;
+        let period = if is_limited { period * 2 } else { period };
+        let due = (expires_at + period).saturating_sub(self.hold);
+        let due = due.max(self.quiet_until);
+        if now < due {
+            return Some(Step::Wait(due.min(expires_at)));
+        }
+        Some(Step::Send(Order::Reserve(self.hold)))
+    }
+
+    fn next_release(&self, now: Duration) -> Step {
+        let late_until = self
+            .late_until
+            .filter(|late| self.released_at.is_none_or(|released| released < *late));
+        let due = match (self.released_at, late_until) {
+            (Some(_), None) => return Step::Done(End::Released),
+            (None, None) if self.expires_at.is_none() => return Step::Done(End::Unused),
+            (None, _) => now,
+            (Some(released), Some(late)) => late.min(released + REPEAT_PAUSE),
+        };
+        // From then on nothing is held, whatever became of the releases.
+        let free_at = late_until.map(|late| late + self.hold).max(self.expires_at);
+        if self.has_sent_release && free_at.is_none_or(|free| now >= free) {
+            return Step::Done(End::Expired);
+        }
+        // The first release does not wait after a renewal that failed.
+        if self.has_sent_release && now < due.max(self.quiet_until) {
+            return Step::Wait(due.max(self.quiet_until));
+        }
+        Step::Send(Order::Release)
+    }
+}
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -1,17 +1,20 @@
 //! Reserves memory at servers for prompts that are larger than the memory of one server.
 //!
 //! A reservation expires soon and is renewed while its request runs. If this process crashes, the
-//! memory is free again without the help of another process.
+//! memory is free again without the help of another process. [`ticket`] decides on the orders; a
+//! task for each ticket sends them one after the other, also after the end of the request.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::StatusCode;
 use http::header;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
-use tokio::task;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time;
 
 use super::Direct;
@@ -19,18 +22,15 @@
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
+use crate::direct::ticket;
+use crate::direct::ticket::Answer;
+use crate::direct::ticket::Order;
 use crate::edge::event::Event;
 use crate::log_event;
 
 /// Timeout of an order to a server: some round trips between availability zones.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Renewals within the time after which a reservation expires: two may be lost.
-const RENEWALS_PER_HOLD: u32 = 3;
-
-/// Pause before a release without an answer is retried.
-const RELEASE_PAUSE: Duration = Duration::from_millis(300);
-
 /// Memory to reserve at a server.
 #[derive(Clone, Debug)]
 pub struct Wanted {
@@ -46,24 +46,13 @@
     server: register::Instance,
     ticket: String,
     tokens: u64,
-    /// When its first order was sent.
-    began: Duration,
-}
-
-/// Why an order got no answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Unanswered {
-    /// There was no connection, so it can't be carried out.
-    Unsent,
-    /// It was sent, and may still be carried out.
-    Sent,
 }
 
 /// Memory reserved for one request. Dropping it releases all of it.
 pub struct Reservation {
-    direct: Arc<Direct>,
     held: Vec<Held>,
-    renewing: Option<task::JoinHandle<()>>,
+    /// Closed when the request ends.
+    running: watch::Sender<()>,
 }
 
 impl Reservation {
@@ -74,29 +63,34 @@
         let mut wanted = wanted;
         wanted.sort_by_key(|wanted| wanted.server.addr);
         let mut reservation = Self {
-            direct: Arc::clone(direct),
             held: Vec::new(),
-            renewing: None,
+            running: watch::Sender::new(()),
         };
+        // A release may be repeated after the request: a ticket of its own for each reservation, as a
+        // caller may send the same id again.
+        let series = rand::random::<u32>();
         for (at, one) in wanted.into_iter().enumerate() {
             let held = Held {
                 addr: one.server.addr,
                 server: one.server.life,
-                ticket: format!("{name}-{at}"),
+                ticket: format!("{name}-{at}-{series:08x}"),
                 tokens: one.tokens,
-                began: direct.node.now(),
             };
-            // Recorded before the order is sent: one without an answer may still be carried out, and
-            // must be released with the rest.
             reservation.held.push(held.clone());
-            if !direct.reserve_memory(&held).await {
+            let (taken, is_taken) = oneshot::channel();
+            let keeper = Keeper {
+                direct: Arc::clone(direct),
+                ticket: ticket::Ticket::new(direct.settings.reservation_ttl),
+                held,
+                began: direct.node.now(),
+                running: reservation.running.subscribe(),
+                released: None,
+            };
+            tokio::spawn(keeper.run(taken));
+            if !is_taken.await.unwrap_or(false) {
                 return None;
             }
         }
-        reservation.renewing = Some(tokio::spawn(renew(
-            Arc::clone(direct),
-            reservation.held.clone(),
-        )));
         Some(reservation)
     }
 
@@ -107,85 +101,127 @@
     }
 }
 
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        if let Some(renewing) = &self.renewing {
-            renewing.abort();
-        }
-        for held in std::mem::take(&mut self.held) {
-            tokio::spawn(release(Arc::clone(&self.direct), held));
-        }
-    }
+/// Sends the orders of one ticket.
+struct Keeper {
+    direct: Arc<Direct>,
+    ticket: ticket::Ticket,
+    held: Held,
+    /// When its first order was sent.
+    began: Duration,
+    /// Closed when the request ends.
+    running: watch::Receiver<()>,
+    /// Status of the last answer to a release.
+    released: Option<StatusCode>,
 }
 
-async fn renew(direct: Arc<Direct>, held: Vec<Held>) {
-    for round in 1_u32.. {
-        time::sleep(direct.hold() / RENEWALS_PER_HOLD).await;
-        for one in &held {
-            // Orders count against a limit of the server: with one, every other round is skipped.
-            let is_limited = direct.state().is_limited(direct.node.now(), &one.server);
-            if is_limited && !round.is_multiple_of(2) {
-                continue;
+impl Keeper {
+    /// Keeps the memory until the request ends, then releases it. `taken` gets whether the memory was
+    /// reserved at first.
+    async fn run(mut self, taken: oneshot::Sender<bool>) {
+        let mut taken = Some(taken);
+        let end = loop {
+            if self.running.has_changed().is_err() {
+                self.ticket.end();
             }
-            // A renewal that fails is retried in the next round, before the reservation expires.
-            let renewed = direct.reserve_memory(one).await;
-            if is_limited && !renewed {
-                direct.reserve_memory(one).await;
+            let now = self.direct.node.now();
+            let is_limited = self.direct.state().is_limited(now, &self.held.server);
+            match self.ticket.next(ticket::View { now, is_limited }) {
+                ticket::Step::Send(order) => {
+                    // Not cancelled by the end of the request: a release on another connection might
+                    // overtake it.
+                    let answer = self.send(order).await;
+                    if let Some(taken) = taken.take() {
+                        // Without a receiver the request has ended, which the next round notices.
+                        let _ = taken.send(answer == Answer::Done);
+                    }
+                }
+                ticket::Step::Wait(until) => self.wait(until.saturating_sub(now)).await,
+                ticket::Step::Done(end) => break end,
             }
-        }
+        };
+        self.log_end(end);
     }
-}
 
-async fn release(direct: Arc<Direct>, held: Held) {
-    let tries = direct.hold().as_millis() / RELEASE_PAUSE.as_millis().max(1);
-    for _ in 0..=tries {
-        let (path, body) = direct.dialect.release(&held.ticket);
-        if let Ok(status) = direct.order(&held, path, body).await {
-            log_event!(direct.node.log(), Event::MemoryReleased, "server" => &held.server,
-                "ticket" => &held.ticket, "tokens" => held.tokens, "status" => status.as_u16(),
-                "age_ms" => held.age_ms(&direct));
-            return;
+    /// Waits for `pause`, or until the request ends.
+    async fn wait(&mut self, pause: Duration) {
+        let has_ended = self.ticket.has_ended();
+        tokio::select! {
+            () = time::sleep(pause) => {}
+            _ = self.running.changed(), if !has_ended => {}
         }
-        time::sleep(RELEASE_PAUSE).await;
     }
-    // By now the reservation has expired.
-    log_event!(direct.node.log(), Event::MemoryStuck, "server" => &held.server,
-        "ticket" => &held.ticket, "age_ms" => held.age_ms(&direct));
-}
 
-impl Held {
-    fn age_ms(&self, direct: &Direct) -> u64 {
-        direct.node.now().saturating_sub(self.began).as_millis() as u64
+    async fn send(&mut self, order: Order) -> Answer {
+        let direct = &self.direct;
+        let held = &self.held;
+        let (path, body) = match order {
+            Order::Reserve(time) => direct.dialect.reserve(&held.ticket, held.tokens, time),
+            Order::Release => direct.dialect.release(&held.ticket),
+        };
+        self.ticket.sent(direct.node.now(), order);
+        let response = direct.order(held, path, body).await;
+        let now = direct.node.now();
+        let answer = match response {
+            Ok(status) => answer_of(status),
+            Err(answer) => answer,
+        };
+        self.ticket.answered(answer);
+        match (order, response) {
+            (Order::Release, Ok(status)) => self.released = Some(status),
+            (Order::Reserve(_), Err(_))
+                if direct.log_limiter.allow(Event::MemoryOrderUnanswered, now) =>
+            {
+                log_event!(direct.node.log(), Event::MemoryOrderUnanswered, "server" => &held.server,
+                    "ticket" => &held.ticket, "age_ms" => self.age_ms(now),
+                    "sent" => answer == Answer::Missing);
+            }
+            _ => {}
+        }
+        answer
     }
-}
 
-impl Direct {
-    /// Time after which a reservation expires unless renewed.
-    fn hold(&self) -> Duration {
-        self.settings.reservation_ttl
+    fn age_ms(&self, now: Duration) -> u64 {
+        now.saturating_sub(self.began).as_millis() as u64
     }
 
-    async fn reserve_memory(&self, held: &Held) -> bool {
-        let (path, body) = self.dialect.reserve(&held.ticket, held.tokens, self.hold());
-        let answer = self.order(held, path, body).await;
-        if let Err(why) = answer
-            && (self.log_limiter).allow(Event::MemoryOrderUnanswered, self.node.now())
-        {
-            log_event!(self.node.log(), Event::MemoryOrderUnanswered, "server" => &held.server,
-                "ticket" => &held.ticket, "age_ms" => held.age_ms(self),
-                "sent" => why == Unanswered::Sent);
+    fn log_end(&self, end: ticket::End) {
+        let log = self.direct.node.log();
+        let held = &self.held;
+        let age_ms = self.age_ms(self.direct.node.now());
+        match end {
+            ticket::End::Unused => {}
+            ticket::End::Released => {
+                let status = self.released.map_or(0, |status| status.as_u16());
+                log_event!(log, Event::MemoryReleased, "server" => &held.server, "ticket" => &held.ticket,
+                    "tokens" => held.tokens, "status" => status, "age_ms" => age_ms);
+            }
+            ticket::End::Expired => {
+                log_event!(log, Event::MemoryStuck, "server" => &held.server, "ticket" => &held.ticket,
+                    "age_ms" => age_ms);
+            }
         }
-        answer.is_ok_and(|status| status.is_success())
     }
+}
+
+fn answer_of(status: StatusCode) -> Answer {
+    if status.is_success() {
+        Answer::Done
+    } else if status == StatusCode::TOO_MANY_REQUESTS || status.is_server_error() {
+        Answer::Busy
+    } else {
+        Answer::Rejected
+    }
+}
 
-    /// Sends an order to a server, and returns the status of its response.
+impl Direct {
+    /// Sends an order to a server. Returns the status of its response, or why there is none.
     async fn order(
         &self,
         held: &Held,
         path: &'static str,
         body: Vec<u8>,
-    ) -> Result<http::StatusCode, Unanswered> {
-        let mut unanswered = Unanswered::Unsent;
+    ) -> Result<StatusCode, Answer> {
+        let mut unanswered = Answer::Unsent;
         let response = async {
             let mut conn = pool::Conn::open(held.addr).await.ok()?;
             let request = http::Request::post(path)
@@ -195,7 +231,7 @@
                 .ok()?;
             let sent = self.record_sent(&held.server, tally::Kind::Order);
             self.charge(&held.server);
-            unanswered = Unanswered::Sent;
+            unanswered = Answer::Missing;
             let response = conn.send(request).await.ok()?;
             let status = response.status();
             let headers = response.headers();
--- /dev/null
+++ b/tests/ticket_orders.rs
@@ -0,0 +1,320 @@
+//! Orders on memory that is set aside for a request, as they come when orders are delayed, lost or
+//! overtaken. Guards against memory that stays set aside after its request, and against memory that
+//! is lost while its request runs.
+
+use std::time::Duration;
+
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand::rngs::StdRng;
+use wigeonbarrow::direct::ticket::Answer;
+use wigeonbarrow::direct::ticket::End;
+use wigeonbarrow::direct::ticket::Order;
+use wigeonbarrow::direct::ticket::Step;
+use wigeonbarrow::direct::ticket::Ticket;
+use wigeonbarrow::direct::ticket::View;
+
+const HOLD: Duration = Duration::from_millis(2_800);
+
+/// Time after the end of its request at which memory is free.
+const FREE: Duration = Duration::from_secs(4);
+
+/// Stretches of memory set aside after it that count as a leak.
+const STRETCH: Duration = Duration::from_secs(2);
+
+/// Timeout of an order.
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+const TICK: Duration = Duration::from_millis(10);
+
+const SEEDS: u64 = 2_000;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// What becomes of one order: when it is carried out after its sending, and when its answer comes.
+#[derive(Clone, Copy, Debug)]
+struct Fate {
+    carried_out: Option<Duration>,
+    answer: Option<(Duration, Answer)>,
+}
+
+impl Fate {
+    const PROMPT: Self = Self {
+        carried_out: Some(ms(20)),
+        answer: Some((ms(40), Answer::Done)),
+    };
+
+    const LOST: Self = Self {
+        carried_out: None,
+        answer: None,
+    };
+
+    const BUSY: Self = Self {
+        carried_out: None,
+        answer: Some((ms(20), Answer::Busy)),
+    };
+
+    fn late(after: Duration) -> Self {
+        Self {
+            carried_out: Some(after),
+            answer: None,
+        }
+    }
+}
+
+/// A ticket, its server, and the orders on their way.
+struct Run {
+    ticket: Ticket,
+    now: Duration,
+    is_limited: bool,
+    /// When the running order gives an answer, or its timeout.
+    answer_at: Option<(Duration, Answer)>,
+    wait_until: Duration,
+    on_way: Vec<(Duration, Order)>,
+    /// Until when the server holds the memory.
+    held_until: Option<Duration>,
+    ended_at: Option<Duration>,
+    end: Option<End>,
+    reserves: usize,
+    releases: usize,
+    held_since: Option<Duration>,
+    /// The longest stretch in which memory was held after the bound.
+    longest_late: Duration,
+    /// Whether memory was not held at some time between the first order and the end.
+    was_lost: bool,
+}
+
+impl Run {
+    fn new() -> Self {
+        Self {
+            ticket: Ticket::new(HOLD),
+            now: Duration::ZERO,
+            is_limited: false,
+            answer_at: None,
+            wait_until: Duration::ZERO,
+            on_way: Vec::new(),
+            held_until: None,
+            ended_at: None,
+            end: None,
+            reserves: 0,
+            releases: 0,
+            held_since: None,
+            longest_late: Duration::ZERO,
+            was_lost: false,
+        }
+    }
+
+    fn is_held(&self) -> bool {
+        self.held_until.is_some_and(|until| self.now < until)
+    }
+
+    fn finish(&mut self) {
+        self.ended_at = Some(self.now);
+        self.ticket.end();
+        self.wait_until = self.now;
+    }
+
+    /// Runs until `until`. `fate` decides on each order.
+    fn run(&mut self, until: Duration, mut fate: impl FnMut(Duration, Order) -> Fate) {
+        while self.now < until {
+            self.deliver();
+            self.decide(&mut fate);
+            self.watch();
+            self.now += TICK;
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let due = self.on_way.extract_if(.., |(at, _)| *at <= now);
+        for (_, order) in due {
+            self.held_until = match order {
+                Order::Reserve(time) => Some(now + time),
+                Order::Release => None,
+            };
+        }
+        if let Some((at, answer)) = self.answer_at
+            && at <= now
+        {
+            self.answer_at = None;
+            self.ticket.answered(answer);
+            self.wait_until = now;
+        }
+    }
+
+    fn decide(&mut self, fate: &mut impl FnMut(Duration, Order) -> Fate) {
+        let now = self.now;
+        if self.answer_at.is_some() || self.end.is_some() || now < self.wait_until {
+            return;
+        }
+        let view = View {
+            now,
+            is_limited: self.is_limited,
+        };
+        match self.ticket.next(view) {
+            Step::Send(order) => {
+                match order {
+                    Order::Reserve(_) => self.reserves += 1,
+                    Order::Release => self.releases += 1,
+                }
+                self.ticket.sent(now, order);
+                let fate = fate(now, order);
+                let carried_out = fate.carried_out.map(|after| (now + after, order));
+                self.on_way.extend(carried_out);
+                let answer = fate.answer.filter(|(after, _)| *after < TIMEOUT);
+                let (after, answer) = answer.unwrap_or((TIMEOUT, Answer::Missing));
+                self.answer_at = Some((now + after, answer));
+            }
+            Step::Wait(until) => {
+                assert!(until > now, "it waits for what has passed");
+                self.wait_until = until;
+            }
+            Step::Done(end) => self.end = Some(end),
+        }
+    }
+
+    fn watch(&mut self) {
+        let is_held = self.is_held();
+        match self.ended_at {
+            None if !is_held && self.now > ms(100) => self.was_lost = true,
+            Some(ended) if is_held && self.now >= ended + FREE => {
+                let since = *self.held_since.get_or_insert(self.now);
+                self.longest_late = self.longest_late.max(self.now.saturating_sub(since));
+            }
+            _ => self.held_since = None,
+        }
+    }
+}
+
+#[test]
+fn answered_orders_released_once() {
+    let mut run = Run::new();
+    run.run(ms(10_000), |_, _| Fate::PROMPT);
+    assert!(!run.was_lost);
+    assert!((9..=12).contains(&run.reserves), "{}", run.reserves);
+    run.finish();
+    run.run(ms(30_000), |_, _| Fate::PROMPT);
+    assert_eq!((run.end, run.releases), (Some(End::Released), 1));
+    assert_eq!(run.held_until, None);
+}
+
+/// A renewal is under way when the request ends: the release follows its answer.
+#[test]
+fn release_after_renewal() {
+    let mut run = Run::new();
+    run.run(ms(960), |_, _| Fate::PROMPT);
+    assert_eq!(run.reserves, 2);
+    run.finish();
+    run.run(ms(970), |_, _| Fate::PROMPT);
+    assert_eq!(run.releases, 0, "a release overtakes the renewal");
+    run.run(ms(1_100), |_, _| Fate::PROMPT);
+    assert_eq!((run.releases, run.held_until), (1, None));
+}
+
+/// A first order without an answer is carried out after the release.
+#[test]
+fn late_first_order() {
+    for late in [2_000, 6_000, 12_000] {
+        let mut run = Run::new();
+        // Its request does not begin.
+        run.ended_at = Some(Duration::ZERO);
+        run.run(ms(30_000), |_, order| match order {
+            Order::Reserve(_) => Fate::late(ms(late)),
+            Order::Release => Fate::PROMPT,
+        });
+        assert_eq!((run.end, run.reserves), (Some(End::Released), 1), "{late}");
+        assert!(run.longest_late < STRETCH, "{late}: {:?}", run.longest_late);
+        assert!(run.releases <= 14, "{late}: {} releases", run.releases);
+    }
+}
+
+/// An order that was rejected, or had no connection, took nothing.
+#[test]
+fn nothing_taken() {
+    for answer in [Answer::Rejected, Answer::Busy, Answer::Unsent] {
+        let mut run = Run::new();
+        run.run(ms(5_000), |_, _| Fate {
+            carried_out: None,
+            answer: Some((ms(20), answer)),
+        });
+        assert_eq!((run.end, run.releases), (Some(End::Unused), 0));
+    }
+}
+
+/// A release that was rejected for now is repeated until the reservation expires.
+#[test]
+fn rejected_release_repeated() {
+    let mut run = Run::new();
+    run.run(ms(1_500), |_, _| Fate::PROMPT);
+    run.finish();
+    run.run(ms(2_400), |_, _| Fate::BUSY);
+    run.run(ms(2_800), |_, _| Fate::PROMPT);
+    assert_eq!((run.end, run.held_until), (Some(End::Released), None));
+
+    let mut run = Run::new();
+    run.run(ms(1_500), |_, _| Fate::PROMPT);
+    run.finish();
+    run.run(ms(10_000), |_, _| Fate::BUSY);
+    assert_eq!(run.end, Some(End::Expired));
+    assert!(run.releases <= 11, "{} releases", run.releases);
+}
+
+/// A server with a limit is renewed half as often, and keeps its memory if two renewals are lost.
+#[test]
+fn limited_renewals_survive() {
+    for first_lost in 0..20 {
+        let mut run = Run::new();
+        run.is_limited = true;
+        let mut count = 0;
+        run.run(ms(40_000), |_, _| {
+            count += 1;
+            let is_lost = (first_lost + 2..first_lost + 4).contains(&count);
+            if is_lost { Fate::LOST } else { Fate::PROMPT }
+        });
+        assert!(!run.was_lost, "lost from {first_lost}");
+        assert!(run.reserves <= 25, "{} orders", run.reserves);
+    }
+}
+
+/// At no time after its request is memory held for longer than the bound, and while it runs it stays
+/// held if no two orders in a row fail.
+#[test]
+fn random_fates() {
+    for seed in 0..SEEDS {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut run = Run::new();
+        run.is_limited = rng.random_bool(0.2);
+        let mut failed = false;
+        let may_fail_twice = rng.random_bool(0.5);
+        let mut fate = |_, _| {
+            let is_well = rng.random_bool(0.6) || (failed && !may_fail_twice);
+            failed = !is_well;
+            match rng.random_range(0..4) {
+                _ if is_well => Fate::PROMPT,
+                0 => Fate::LOST,
+                1 => Fate::BUSY,
+                2 => Fate::late(ms(rng.random_range(400..2_000))),
+                _ => Fate::late(ms(rng.random_range(2_000..12_000))),
+            }
+        };
+        let ends_at = ms(seed * 7 % 9_000);
+        run.run(ends_at, &mut fate);
+        // By then the first order was answered or has failed.
+        let began = ends_at > TIMEOUT + ms(50) && !run.ticket.has_ended();
+        assert!(
+            may_fail_twice || !began || !run.was_lost,
+            "seed {seed}: memory lost while its request ran"
+        );
+        run.finish();
+        run.run(ends_at + ms(30_000), &mut fate);
+        assert!(run.end.is_some(), "seed {seed}: it goes on");
+        let bound = if may_fail_twice { HOLD } else { STRETCH };
+        assert!(
+            run.longest_late < bound,
+            "seed {seed}: {:?}",
+            run.longest_late
+        );
+    }
+}
