Memory is not renewed past its request's deadline

What servers saw: memory set aside 4 s after the deadline of a request, and for as long as its caller kept the connection open. Cause: a stream is read only while its caller takes bytes. If the caller's connection takes none, nobody notices the deadline, and the reservation lives on and renews its memory. Change: a ticket knows its request's deadline and renews nothing after it; the reservation then expires by itself, 1.8 to 2.8 s later, and is released.

--- a/src/direct/ticket.rs
+++ b/src/direct/ticket.rs
@@ -81,6 +81,9 @@
 pub struct Ticket {
     /// Time of a reservation.
     hold: Duration,
+    /// Deadline of the request. Nothing is renewed after it, so that the reservation expires even if
+    /// nobody notices the end of the request.
+    deadline: Duration,
     /// Whether the request has ended, did not begin, or has lost its memory.
     has_ended: bool,
     /// No order is sent before this time.
@@ -99,10 +102,12 @@
 }
 
 impl Ticket {
-    /// A ticket without memory yet, whose reservations last for `hold`.
-    pub fn new(hold: Duration) -> Self {
+    /// A ticket without memory yet, whose reservations last for `hold`, for a request with this
+    /// deadline.
+    pub fn new(hold: Duration, deadline: Duration) -> Self {
         Self {
             hold,
+            deadline,
             has_ended: false,
             quiet_until: Duration::ZERO,
             under_way: None,
@@ -169,6 +174,9 @@
         if now >= expires_at {
             return None;
         }
+        if now >= self.deadline {
+            return Some(Step::Wait(expires_at));
+        }
         let period = self.hold / RENEWALS_PER_HOLD;
         let period = if is_limited { period * 2 } else { period };
         let due = (expires_at + period).saturating_sub(self.hold);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -308,7 +308,7 @@
             return Ok(None);
         }
         let name = format!("{}-{}", context.request.id, context.history.tried);
-        let memory = reserve::Reservation::take(self, &name, wanted).await;
+        let memory = reserve::Reservation::take(self, &name, wanted, context.time_left()).await;
         // Another request may have taken the memory meanwhile. Nothing was sent in that case.
         memory.map(Some).ok_or(retry::Failure::NotRun {
             at_fault: None,
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -58,8 +58,14 @@
 impl Reservation {
     /// Reserves all of `wanted` or nothing, under tickets that begin with `name`. All entries ask
     /// servers in the order of their addresses, and none waits for memory while it holds some, so
-    /// that no deadlock arises.
-    pub async fn take(direct: &Arc<Direct>, name: &str, wanted: Vec<Wanted>) -> Option<Self> {
+    /// that no deadlock arises. Nothing is renewed after `time_left`.
+    pub async fn take(
+        direct: &Arc<Direct>,
+        name: &str,
+        wanted: Vec<Wanted>,
+        time_left: Duration,
+    ) -> Option<Self> {
+        let deadline = direct.node.now() + time_left;
         let mut wanted = wanted;
         wanted.sort_by_key(|wanted| wanted.server.addr);
         let mut reservation = Self {
@@ -80,7 +86,7 @@
             let (taken, is_taken) = oneshot::channel();
             let keeper = Keeper {
                 direct: Arc::clone(direct),
-                ticket: ticket::Ticket::new(direct.settings.reservation_ttl),
+                ticket: ticket::Ticket::new(direct.settings.reservation_ttl, deadline),
                 held,
                 began: direct.node.now(),
                 running: reservation.running.subscribe(),
--- a/tests/ticket_orders.rs
+++ b/tests/ticket_orders.rs
@@ -16,6 +16,8 @@
 
 const HOLD: Duration = Duration::from_millis(2_800);
 
+const DEADLINE: Duration = Duration::from_secs(60);
+
 /// Time after the end of its request at which memory is free.
 const FREE: Duration = Duration::from_secs(4);
 
@@ -89,7 +91,7 @@
 impl Run {
     fn new() -> Self {
         Self {
-            ticket: Ticket::new(HOLD),
+            ticket: Ticket::new(HOLD, DEADLINE),
             now: Duration::ZERO,
             is_limited: false,
             answer_at: None,
@@ -230,6 +232,28 @@
     }
 }
 
+/// Nobody notices the end of a request at its deadline.
+#[test]
+fn no_renewal_past_deadline() {
+    for renewals_fail in [false, true] {
+        let mut run = Run::new();
+        run.run(ms(58_000), |_, _| Fate::PROMPT);
+        run.run(DEADLINE, |_, _| {
+            if renewals_fail {
+                Fate::late(ms(8_000))
+            } else {
+                Fate::PROMPT
+            }
+        });
+        assert!(run.is_held(), "its memory is lost at the deadline");
+        run.ended_at = Some(DEADLINE);
+        run.run(DEADLINE + ms(30_000), |_, _| Fate::PROMPT);
+        assert_eq!(run.end, Some(End::Released));
+        let bound = if renewals_fail { STRETCH } else { TICK };
+        assert!(run.longest_late < bound, "{:?}", run.longest_late);
+    }
+}
+
 /// An order that was rejected, or had no connection, took nothing.
 #[test]
 fn nothing_taken() {
