Memory of a dead writer is free within its bound

What servers saw: the server that wrote an answer died without a reset, and memory set aside for it at others was still renewed 4 s later, until the predicted time of the first event, seconds on. Cause: renewals went on while the request lived, and whether its server is there is first asked when its first event is due. Change: memory is renewed only as far as 3.5 s (1.25 times the time of a reservation) after the last sign of life of the writing server, which is probed four times in that time from the first order on. So it is free 3.8 s after the death at the latest, and a server that is silent for two seconds loses nothing. Bytes of the answer are no sign of life: they may have waited for their caller for long. A server that names a limit is not probed and taken as alive. Memory that has expired is not taken again. Ruled out: renewing only after a probe that was answered. With a full 2.8 s left at the last renewal a silence of 1.3 s just before the next one loses it.

--- a/src/direct/ticket.rs
+++ b/src/direct/ticket.rs
@@ -21,6 +21,20 @@
 /// free again within two seconds, also if one release gets no answer.
 pub const REPEAT_PAUSE: Duration = Duration::from_millis(1_200);
 
+/// Time after the last sign of life of the writing server at which the memory is free, as a factor of
+/// the time of a reservation. With it the memory of a server that died is free within the bound of
+/// which a reservation is 0.7, and a server that is silent for two seconds keeps its memory.
+const HOLDS_AFTER_LIFE: f64 = 1.25;
+
+/// Probes of the writing server within the time of a reservation.
+const PROBES_PER_HOLD: u32 = 4;
+
+/// Time from a probe without an answer to the next.
+const PROBE_PAUSE: Duration = Duration::from_millis(350);
+
+/// Least gain of a renewal, as a part of the time of a reservation.
+const MIN_GAIN_PART: u32 = 8;
+
 /// An order to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
@@ -72,6 +86,8 @@
 pub struct View {
     /// The present time.
     pub now: Duration,
+    /// Last sign of life of the server that writes the answer.
+    pub alive_at: Duration,
     /// Whether orders count against a limit of the server: it is renewed half as often.
     pub is_limited: bool,
 }
@@ -167,7 +183,11 @@
 
     /// `None`: the reservation has expired. It is not taken again.
     fn next_reserve(&self, view: View) -> Option<Step> {
-        let View { now, is_limited } = view;
+        let View {
+            now,
+            alive_at,
+            is_limited,
+        } = view;
         let Some(expires_at) = self.expires_at else {
             return Some(Step::Send(Order::Reserve(self.hold)));
         };
@@ -184,7 +204,11 @@
         if now < due {
             return Some(Step::Wait(due.min(expires_at)));
         }
-        Some(Step::Send(Order::Reserve(self.hold)))
+        let end = free_at(self.hold, alive_at).min(now + self.hold);
+        if end < expires_at + self.hold / MIN_GAIN_PART {
+            return Some(Step::Wait(expires_at));
+        }
+        Some(Step::Send(Order::Reserve(end.saturating_sub(now))))
     }
 
     fn next_release(&self, now: Duration) -> Step {
@@ -198,8 +222,8 @@
             (Some(released), Some(late)) => late.min(released + REPEAT_PAUSE),
         };
         // From then on nothing is held, whatever became of the releases.
-        let free_at = late_until.map(|late| late + self.hold).max(self.expires_at);
-        if self.has_sent_release && free_at.is_none_or(|free| now >= free) {
+        let none_held_at = late_until.map(|late| late + self.hold).max(self.expires_at);
+        if self.has_sent_release && none_held_at.is_none_or(|at| now >= at) {
             return Step::Done(End::Expired);
         }
         // The first release does not wait after a renewal that failed.
@@ -209,3 +233,56 @@
         Step::Send(Order::Release)
     }
 }
+
+/// Latest end of a reservation if the writing server gave its last sign of life at `alive_at`.
+fn free_at(hold: Duration, alive_at: Duration) -> Duration {
+    alive_at + hold.mul_f64(HOLDS_AFTER_LIFE)
+}
+
+/// What is known of the server that writes the answer, on which renewals depend. Only answers to
+/// probes count as signs of life: bytes of the answer may have waited for their caller for long.
+#[derive(Clone, Debug)]
+pub struct Writer {
+    hold: Duration,
+    deadline: Duration,
+    alive_at: Duration,
+    /// When the last probe without an answer was sent.
+    unanswered_at: Option<Duration>,
+}
+
+impl Writer {
+    /// A server that is alive `now`.
+    pub fn new(now: Duration, hold: Duration, deadline: Duration) -> Self {
+        Self {
+            hold,
+            deadline,
+            alive_at: now,
+            unanswered_at: None,
+        }
+    }
+
+    /// Last sign of life.
+    pub fn alive_at(&self) -> Duration {
+        self.alive_at
+    }
+
+    /// When the next probe is due. `None`: nothing is renewed any more.
+    pub fn next_probe(&self, now: Duration) -> Option<Duration> {
+        if now >= self.deadline || now >= free_at(self.hold, self.alive_at) {
+            return None;
+        }
+        let due = self.alive_at + self.hold / PROBES_PER_HOLD;
+        let retry = self.unanswered_at.map(|at| at + PROBE_PAUSE);
+        Some(retry.map_or(due, |retry| retry.max(due)))
+    }
+
+    /// Records whether a probe that was sent at `sent_at` was answered.
+    pub fn probed(&mut self, sent_at: Duration, is_answered: bool) {
+        if is_answered {
+            self.alive_at = sent_at;
+            self.unanswered_at = None;
+        } else {
+            self.unanswered_at = Some(sent_at);
+        }
+    }
+}
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -308,7 +308,14 @@
             return Ok(None);
         }
         let name = format!("{}-{}", context.request.id, context.history.tried);
-        let memory = reserve::Reservation::take(self, &name, wanted, context.time_left()).await;
+        let memory = reserve::Reservation::take(
+            self,
+            &name,
+            wanted,
+            &assignment.server,
+            context.time_left(),
+        )
+        .await;
         // Another request may have taken the memory meanwhile. Nothing was sent in that case.
         memory.map(Some).ok_or(retry::Failure::NotRun {
             at_fault: None,
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -58,20 +58,35 @@
 impl Reservation {
     /// Reserves all of `wanted` or nothing, under tickets that begin with `name`. All entries ask
     /// servers in the order of their addresses, and none waits for memory while it holds some, so
-    /// that no deadlock arises. Nothing is renewed after `time_left`.
+    /// that no deadlock arises. It is renewed while `writer`, the server that writes the answer, is
+    /// alive, at most for `time_left`.
     pub async fn take(
         direct: &Arc<Direct>,
         name: &str,
         wanted: Vec<Wanted>,
+        writer: &register::Record,
         time_left: Duration,
     ) -> Option<Self> {
-        let deadline = direct.node.now() + time_left;
+        let ttl = direct.settings.reservation_ttl;
+        let now = direct.node.now();
+        let deadline = now + time_left;
         let mut wanted = wanted;
         wanted.sort_by_key(|wanted| wanted.server.addr);
         let mut reservation = Self {
             held: Vec::new(),
             running: watch::Sender::new(()),
         };
+        let watched = ticket::Writer::new(now, ttl, deadline);
+        let alive_at = watch::Sender::new(now);
+        let seen = alive_at.subscribe();
+        let running = reservation.running.subscribe();
+        tokio::spawn(watch_writer(
+            Arc::clone(direct),
+            writer.clone(),
+            watched,
+            alive_at,
+            running,
+        ));
         // A release may be repeated after the request: a ticket of its own for each reservation, as a
         // caller may send the same id again.
         let series = rand::random::<u32>();
@@ -86,10 +101,11 @@
             let (taken, is_taken) = oneshot::channel();
             let keeper = Keeper {
                 direct: Arc::clone(direct),
-                ticket: ticket::Ticket::new(direct.settings.reservation_ttl, deadline),
+                ticket: ticket::Ticket::new(ttl, deadline),
                 held,
                 began: direct.node.now(),
                 running: reservation.running.subscribe(),
+                alive_at: seen.clone(),
                 released: None,
             };
             tokio::spawn(keeper.run(taken));
@@ -107,6 +123,32 @@
     }
 }
 
+/// Publishes signs of life of the server that writes an answer until its request ends, or until they
+/// are of no use any more.
+async fn watch_writer(
+    direct: Arc<Direct>,
+    server: register::Record,
+    mut writer: ticket::Writer,
+    alive_at: watch::Sender<Duration>,
+    mut running: watch::Receiver<()>,
+) {
+    let probing = async {
+        while let Some(due) = writer.next_probe(direct.node.now()) {
+            time::sleep(due.saturating_sub(direct.node.now())).await;
+            let now = direct.node.now();
+            // A server with a request limit is not probed: probes count against the limit.
+            let is_limited = direct.state().is_limited(now, &server.life);
+            let is_alive = is_limited || direct.probe(&server).await.is_some();
+            writer.probed(now, is_alive);
+            alive_at.send_replace(writer.alive_at());
+        }
+    };
+    tokio::select! {
+        () = probing => {}
+        _ = running.changed() => {}
+    }
+}
+
 /// Sends the orders of one ticket.
 struct Keeper {
     direct: Arc<Direct>,
@@ -116,6 +158,8 @@
     began: Duration,
     /// Closed when the request ends.
     running: watch::Receiver<()>,
+    /// Last sign of life of the server that writes the answer.
+    alive_at: watch::Receiver<Duration>,
     /// Status of the last answer to a release.
     released: Option<StatusCode>,
 }
@@ -131,7 +175,12 @@
             }
             let now = self.direct.node.now();
             let is_limited = self.direct.state().is_limited(now, &self.held.server);
-            match self.ticket.next(ticket::View { now, is_limited }) {
+            let view = ticket::View {
+                now,
+                alive_at: *self.alive_at.borrow_and_update(),
+                is_limited,
+            };
+            match self.ticket.next(view) {
                 ticket::Step::Send(order) => {
                     // Not cancelled by the end of the request: a release on another connection might
                     // overtake it.
@@ -148,12 +197,14 @@
         self.log_end(end);
     }
 
-    /// Waits for `pause`, or until the request ends.
+    /// Waits for `pause`, or until the request ends or its writing server gives a sign of life.
     async fn wait(&mut self, pause: Duration) {
         let has_ended = self.ticket.has_ended();
         tokio::select! {
             () = time::sleep(pause) => {}
             _ = self.running.changed(), if !has_ended => {}
+            // Closed when there is nothing more to come.
+            Ok(()) = self.alive_at.changed(), if !has_ended => {}
         }
     }
 
--- a/tests/ticket_orders.rs
+++ b/tests/ticket_orders.rs
@@ -13,6 +13,7 @@
 use wigeonbarrow::direct::ticket::Step;
 use wigeonbarrow::direct::ticket::Ticket;
 use wigeonbarrow::direct::ticket::View;
+use wigeonbarrow::direct::ticket::Writer;
 
 const HOLD: Duration = Duration::from_millis(2_800);
 
@@ -27,6 +28,9 @@
 /// Timeout of an order.
 const TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Timeout of a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+
 const TICK: Duration = Duration::from_millis(10);
 
 const SEEDS: u64 = 2_000;
@@ -66,9 +70,15 @@
     }
 }
 
-/// A ticket, its server, and the orders on their way.
+/// A ticket, its server, the orders on their way, and the server that writes the answer.
 struct Run {
     ticket: Ticket,
+    writer: Writer,
+    /// When the writing server is silent.
+    silent: std::ops::Range<Duration>,
+    /// When the probe under way was sent, when its answer or timeout comes, and which it is.
+    probe: Option<(Duration, Duration, bool)>,
+    probes: usize,
     now: Duration,
     is_limited: bool,
     /// When the running order gives an answer, or its timeout.
@@ -92,6 +102,10 @@
     fn new() -> Self {
         Self {
             ticket: Ticket::new(HOLD, DEADLINE),
+            writer: Writer::new(Duration::ZERO, HOLD, DEADLINE),
+            silent: Duration::ZERO..Duration::ZERO,
+            probe: None,
+            probes: 0,
             now: Duration::ZERO,
             is_limited: false,
             answer_at: None,
@@ -122,6 +136,7 @@
     fn run(&mut self, until: Duration, mut fate: impl FnMut(Duration, Order) -> Fate) {
         while self.now < until {
             self.deliver();
+            self.ask_writer();
             self.decide(&mut fate);
             self.watch();
             self.now += TICK;
@@ -146,6 +161,25 @@
         }
     }
 
+    /// Probes the writing server.
+    fn ask_writer(&mut self) {
+        let now = self.now;
+        if let Some((sent_at, at, is_answered)) = self.probe
+            && at <= now
+        {
+            self.probe = None;
+            self.writer.probed(sent_at, is_answered);
+            self.wait_until = now;
+        }
+        let due = self.writer.next_probe(now).filter(|due| *due <= now);
+        if self.probe.is_none() && !self.ticket.has_ended() && due.is_some() {
+            self.probes += 1;
+            let is_silent = self.silent.contains(&now);
+            let after = if is_silent { PROBE_TIMEOUT } else { ms(30) };
+            self.probe = Some((now, now + after, !is_silent));
+        }
+    }
+
     fn decide(&mut self, fate: &mut impl FnMut(Duration, Order) -> Fate) {
         let now = self.now;
         if self.answer_at.is_some() || self.end.is_some() || now < self.wait_until {
@@ -153,6 +187,7 @@
         }
         let view = View {
             now,
+            alive_at: self.writer.alive_at(),
             is_limited: self.is_limited,
         };
         match self.ticket.next(view) {
@@ -254,6 +289,55 @@
     }
 }
 
+/// The writing server is sound, silent for a time, and goes on.
+#[test]
+fn silence_keeps_memory() {
+    for begins in (1_000..5_000).step_by(10) {
+        let mut run = Run::new();
+        run.silent = ms(begins)..ms(begins + 2_000);
+        run.run(ms(12_000), |_, _| Fate::PROMPT);
+        assert!(!run.was_lost, "silent from {begins} ms on");
+        assert!(run.reserves <= 18, "{} orders", run.reserves);
+        assert!(run.probes <= 24, "{} probes", run.probes);
+    }
+}
+
+/// The writing server dies without a reset, and nobody notices.
+#[test]
+fn dead_writer_frees_memory() {
+    for (dies, is_limited) in (0..4_000)
+        .step_by(10)
+        .flat_map(|at| [(at, false), (at, true)])
+    {
+        let mut run = Run::new();
+        run.is_limited = is_limited;
+        run.silent = ms(dies)..Duration::MAX;
+        run.run(ms(dies), |_, _| Fate::PROMPT);
+        run.ended_at = Some(ms(dies));
+        run.run(ms(dies) + FREE, |_, _| Fate::PROMPT);
+        assert!(!run.is_held(), "died at {dies} ms");
+        assert_eq!(run.end, Some(End::Released), "died at {dies} ms");
+    }
+}
+
+/// The writing server dies while renewals are late.
+#[test]
+fn dead_writer_late_renewals() {
+    for late in (500..12_000).step_by(100) {
+        let mut run = Run::new();
+        run.silent = ms(3_000)..Duration::MAX;
+        run.run(ms(1_500), |_, _| Fate::PROMPT);
+        run.run(ms(3_000), |_, _| Fate::late(ms(late)));
+        run.ended_at = Some(ms(3_000));
+        run.run(ms(40_000), |_, order| match order {
+            Order::Reserve(_) => Fate::late(ms(late)),
+            Order::Release => Fate::PROMPT,
+        });
+        assert_eq!(run.end, Some(End::Released), "late by {late} ms");
+        assert!(run.longest_late < STRETCH, "{late}: {:?}", run.longest_late);
+    }
+}
+
 /// An order that was rejected, or had no connection, took nothing.
 #[test]
 fn nothing_taken() {
