Log how far each request had got when its backend server crashed

Cause: 214 names the server and the hash of the whole request. An operator cannot tell the request that crashed the server from those that were on it as well, and finds nothing that several of them share. Change: 225 has the request, its stage, its events, the time since the first of them and the number of requests on the server. No logic is changed.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -59,6 +59,7 @@
 mod span;
 mod stop;
 pub mod stream;
+mod suspicion;
 mod turn;
 
 /// Time after a start by which the other entries are known. The retry budget is shared with them.
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -21,6 +21,7 @@
 use super::reserve;
 use super::silence;
 use super::stream;
+use super::suspicion;
 use crate::direct::catalog;
 use crate::direct::deadline;
 use crate::direct::quota;
@@ -472,7 +473,7 @@
                 self.server_died(context.fingerprint, &server.life);
             }
             retry::Failure::Broken => {
-                self.check_after_disconnect(context.fingerprint, server.clone());
+                self.check_after_disconnect(suspicion::Run::new(context), server.clone());
             }
             retry::Failure::Slow | retry::Failure::Failed => {
                 self.state()
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -12,10 +12,10 @@
 use super::Direct;
 use super::dialect;
 use super::pool;
+use super::suspicion;
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
-use crate::wire::id;
 
 /// Timeout for the response to a probe: some round trips between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -70,9 +70,10 @@
     /// request is a suspect.
     pub(super) fn check_after_disconnect(
         self: &Arc<Self>,
-        fingerprint: id::Fingerprint,
+        run: suspicion::Run,
         server: register::Record,
     ) {
+        let open = self.open_runs(&server.life);
         let now = self.node.now();
         if self.state().is_limited(now, &server.life) {
             self.state()
@@ -84,7 +85,8 @@
         tokio::spawn(async move {
             if direct.probe(&server).await.is_none() {
                 direct.pause_server(&server.life, "connection broken, and no answer since");
-                direct.server_died(fingerprint, &server.life);
+                direct.log_crash(&run, &server.life, open);
+                direct.server_died(run.fingerprint, &server.life);
             } else {
                 let now = direct.node.now();
                 direct
--- a/src/edge/direct/resume.rs
+++ b/src/edge/direct/resume.rs
@@ -9,6 +9,7 @@
 use super::context::Context;
 use super::cut;
 use super::stream;
+use super::suspicion;
 use crate::direct::deadline;
 use crate::direct::register;
 use crate::direct::retry;
@@ -135,7 +136,7 @@
         match cause {
             retry::Failure::Silent => self.pause_server(&server.life, "silent midway"),
             retry::Failure::Slow => {}
-            _ => self.check_after_disconnect(context.fingerprint, server.clone()),
+            _ => self.check_after_disconnect(suspicion::Run::new(context), server.clone()),
         }
         context.failed_servers.push(server.life.clone());
         let mut is_open = is_open(cause);
@@ -147,7 +148,7 @@
         } else if let Err(denial) = self.may_retry(context, cause) {
             return Resumed::Failed(cut::Reason::Denied(denial));
         }
-        let fingerprint = context.fingerprint;
+        let run = suspicion::Run::new(context);
         let first = {
             let attempts = self.attempt_until_done(context, Some(after));
             tokio::pin!(attempts);
@@ -157,7 +158,7 @@
                     next = reader.next(), if is_open => match next {
                         stream::Next::Lost(_) => {
                             is_open = false;
-                            self.check_after_disconnect(fingerprint, server.clone());
+                            self.check_after_disconnect(run.clone(), server.clone());
                         }
                         next => break Err(next),
                     },
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -79,6 +79,7 @@
     ServerCold = 222, Info, "backend server is cold: it gets granted requests only";
     ServerSilent = 223, Info, "request leaves a silent backend server, or stays with it";
     RequestPartial = 224, Warning, "caller's connection closed with a request that had come in part";
+    RunCrashed = 225, Warning, "backend server crashed under a request that it ran";
     DocumentInForce = 230, Info, "published configuration in force";
     DocumentRefused = 231, Warning, "published configuration refused: it has findings";
     DocumentTaken = 232, Info, "change of the published configuration answered";
