--- a/src/direct.rs
+++ b/src/direct.rs
@@ -27,6 +27,7 @@
 pub mod spread;
 pub mod sse;
 pub mod subset;
+pub mod suspect;
 pub mod tally;
 pub mod ticket;
 pub mod writing;
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -25,6 +25,7 @@
 use crate::direct::membership;
 use crate::direct::quota;
 use crate::direct::register;
+use crate::direct::suspect;
 use crate::direct::tally;
 use crate::direct::writing;
 use crate::log_event;
@@ -94,7 +95,7 @@
     /// Recent failures and slowness of each backend server.
     pub healths: health::Health,
     /// Requests during which backend servers died.
-    pub suspects: health::Suspects,
+    pub suspects: suspect::Suspects,
     /// Budget for retries.
     pub budget: budget::Budget,
     /// Load of each backend server, from all entries.
@@ -158,7 +159,7 @@
         let state = State {
             register: register::Register::default(),
             healths: health::Health::default(),
-            suspects: health::Suspects::default(),
+            suspects: suspect::Suspects::default(),
             budget: budget::Budget::new(settings.retries),
             loads: load::Table::default(),
             congestion: congestion::Congestion::default(),
--- a/tests/server_faults.rs
+++ b/tests/server_faults.rs
@@ -6,9 +6,9 @@
 use std::time::Duration;
 
 use wigeonbarrow::direct::health::Health;
-use wigeonbarrow::direct::health::MAX_CRASHES;
-use wigeonbarrow::direct::health::Suspects;
 use wigeonbarrow::direct::register::Instance;
+use wigeonbarrow::direct::suspect::MAX_CRASHES;
+use wigeonbarrow::direct::suspect::Suspects;
 use wigeonbarrow::wire::id;
 
 const NOW: Duration = Duration::from_secs(100);
