A silent server has not crashed under its requests

What callers saw: a request whose servers fell silent three times was rejected for a minute, though the servers went on. Cause: an attempt left because its server was silent and answered no probe counted as a crash under the request. A sound server may be silent for a second and go on. Change: only a broken connection may tell of a crash, and a probe without an answer confirms it. The server is paused as before. Evidence: by reading. The test is of the rule; no run with processes is part of this change.

--- a/src/direct/suspect.rs
+++ b/src/direct/suspect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use super::register;
+use super::retry;
 use crate::wire::id;
 
 /// Servers that may crash under a request. After one more crash it is rejected.
@@ -61,3 +62,8 @@
         self.crashes.retain(|_, (_, at)| *at > median);
     }
 }
+
+/// Whether an attempt that failed so may have crashed its server. A server that falls silent may go on.
+pub fn may_have_crashed(failure: &retry::Failure) -> bool {
+    matches!(failure, retry::Failure::Broken)
+}
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -27,6 +27,7 @@
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::retry;
+use crate::direct::suspect;
 use crate::direct::tally;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -466,15 +467,12 @@
         if retry::suspects_server(&context.route, cause) {
             self.pause_server_everywhere(&server.life);
         }
+        if suspect::may_have_crashed(cause) {
+            self.check_after_disconnect(suspicion::Run::new(context), server.clone());
+        }
         match cause {
             retry::Failure::Unsent => self.pause_server(&server.life, "no connection"),
-            retry::Failure::Silent => {
-                self.pause_server(&server.life, "silent");
-                self.server_died(context.fingerprint, &server.life);
-            }
-            retry::Failure::Broken => {
-                self.check_after_disconnect(suspicion::Run::new(context), server.clone());
-            }
+            retry::Failure::Silent => self.pause_server(&server.life, "silent"),
             retry::Failure::Slow | retry::Failure::Failed => {
                 self.state()
                     .healths
@@ -483,7 +481,8 @@
             retry::Failure::NotRun { at_fault, .. } => {
                 self.pause_helper(server, at_fault.as_deref());
             }
-            retry::Failure::Away
+            retry::Failure::Broken
+            | retry::Failure::Away
             | retry::Failure::Limited(_)
             | retry::Failure::Withdrawn
             | retry::Failure::Excluded
--- a/tests/server_faults.rs
+++ b/tests/server_faults.rs
@@ -7,6 +7,8 @@
 
 use wigeonbarrow::direct::health::Health;
 use wigeonbarrow::direct::register::Instance;
+use wigeonbarrow::direct::retry::Failure;
+use wigeonbarrow::direct::suspect;
 use wigeonbarrow::direct::suspect::MAX_CRASHES;
 use wigeonbarrow::direct::suspect::Suspects;
 use wigeonbarrow::wire::id;
@@ -95,3 +97,19 @@
     suspects.record_crash(NOW, last, &instance("i-2"));
     assert!(suspects.is_poison(NOW, &last));
 }
+
+#[test]
+fn silence_is_no_crash() {
+    assert!(suspect::may_have_crashed(&Failure::Broken));
+    let others = [
+        Failure::Silent,
+        Failure::Slow,
+        Failure::Failed,
+        Failure::Unsent,
+        Failure::Late,
+        Failure::Ending,
+    ];
+    for failure in others {
+        assert!(!suspect::may_have_crashed(&failure), "{failure:?}");
+    }
+}
