Decide which part of a prompt crashes backend servers

Cause: requests under which servers crash are known by their whole fingerprint only. Requests that share one part of their prompts and nothing else crash two servers each, without end. Change: direct/part, a state machine without input or output. A crash counts against the parts of the requests that had just begun on the server; an answer that was written speaks for its parts, at any entry. A part is convicted after three servers under three different requests and a second without an answer; after five servers, three seconds, two of them between crashes, if answers on it were written before. A crash that a convicted part explains counts against no other; of two parts with the same crashes the one without a known answer is more suspect. A minute after its verdict one request in the fleet may try the part, the next after four times as long each; the first answer acquits it everywhere. A trial of each entry, or one each few seconds, would crash more servers than the three that are tolerable after the verdict.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -18,6 +18,7 @@
 pub mod load;
 pub mod membership;
 pub mod model;
+pub mod part;
 pub mod place;
 pub mod quota;
 pub mod register;
