Reject requests with a prompt part that crashes backend servers

Sound requests beside them failed. Cause: nothing related these requests: no two have the same fingerprint. Besides, every request on a server that crashed counted as its cause, also one that had been answered for seconds, and suspicion was asked for at the admission only. Change: the parts of the prompt are read from the caller's head. A request whose connection broke, and whose server then answers no probe, is evidence if its answer had just begun; an answer that went on for a second of writing or came whole acquits. Crashes, verdicts and acquittals are broadcast; the entry responsible for a part repeats its verdict and lets it be tried; a process that joins gets all verdicts. Suspicion is asked for at the admission, before each attempt and directly before each send. A request that never ran is told so, with 30 s to retry; one that ran has failed. Former processes cannot decode the new datagrams and drop them. Known limits: a server that names a limit is not probed, so its crashes are no evidence; a server that goes dark without breaking its connections is none either.

--- a/src/direct/gossip.rs
+++ b/src/direct/gossip.rs
@@ -1,6 +1,6 @@
 //! Gossip between processes in datagrams: that they are running, which backend servers sent them
-//! heartbeats, the load they put on these, which requests are suspect, and the limits that servers
-//! announce.
+//! heartbeats, the load they put on these, which requests and prompt parts are suspect, and the limits
+//! that servers announce.
 //!
 //! All of it is best effort. Each datagram is complete in itself, may be lost, duplicated or late,
 //! and is sent again. No guarantee depends on it.
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::load;
+use super::part;
 use super::quota;
 use super::register;
 use crate::wire::agree;
@@ -89,6 +90,8 @@
         /// Datagrams of other processes that a relay forwards together. Invariant: none of them is a
         /// batch, or is to be relayed.
         Batch(Vec<Datagram>),
+        /// Parts of prompts that crash backend servers.
+        Parts(part::News),
     }
 
     /// Asks the entry that grants for a service to permit one request.
@@ -131,6 +134,7 @@
             Self::ColdRecords(_) => "cold_records",
             Self::Evacuations(_) => "evacuations",
             Self::Batch(_) => "batch",
+            Self::Parts(_) => "parts",
         }
     }
 }
--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -33,6 +33,8 @@
     Slow,
     /// The server ran the request and answered with an error.
     Failed,
+    /// Not sent: backend servers crashed under it, or under a part of its prompt.
+    Suspect,
     /// The request's deadline has passed.
     Late,
     /// This process will stop before the response could be complete.
@@ -50,6 +52,7 @@
                 | Self::Withdrawn
                 | Self::Excluded
                 | Self::NotRun { .. }
+                | Self::Suspect
                 | Self::Ending
         )
     }
@@ -126,7 +129,12 @@
     }
     if matches!(
         failure,
-        Failure::Away | Failure::Limited(_) | Failure::Excluded | Failure::Late | Failure::Ending
+        Failure::Away
+            | Failure::Limited(_)
+            | Failure::Excluded
+            | Failure::Suspect
+            | Failure::Late
+            | Failure::Ending
     ) {
         return Err(Denial::Cause);
     }
@@ -165,6 +173,9 @@
 /// Least and most time after which a caller is asked to retry.
 const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(200), Duration::from_secs(2));
 
+/// When to retry a request that is not sent because servers crashed under it. Most likely not at all.
+pub const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(30);
+
 /// The answer to the caller after the last attempt.
 pub fn reply(failure: &Failure, history: History, left: Duration) -> Reply {
     if let Failure::Limited(retry_after) = failure
@@ -176,6 +187,9 @@
     if *failure == Failure::Ending && history.ran == 0 {
         return Reply::Busy(Duration::ZERO);
     }
+    if *failure == Failure::Suspect && history.ran == 0 {
+        return Reply::Busy(SUSPECT_RETRY_AFTER);
+    }
     if history.ran == 0 && *failure != Failure::Late {
         return Reply::Busy((left / 6).clamp(RETRY_AFTER.0, RETRY_AFTER.1));
     }
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -23,6 +23,7 @@
 use crate::direct::health;
 use crate::direct::load;
 use crate::direct::membership;
+use crate::direct::part;
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::suspect;
@@ -96,6 +97,8 @@
     pub healths: health::Health,
     /// Requests during which backend servers died.
     pub suspects: suspect::Suspects,
+    /// Parts of prompts under which backend servers crashed.
+    pub parts: part::Parts,
     /// Budget for retries.
     pub budget: budget::Budget,
     /// Load of each backend server, from all entries.
@@ -160,6 +163,7 @@
             register: register::Register::default(),
             healths: health::Health::default(),
             suspects: suspect::Suspects::default(),
+            parts: part::Parts::default(),
             budget: budget::Budget::new(settings.retries),
             loads: load::Table::default(),
             congestion: congestion::Congestion::default(),
@@ -374,6 +378,7 @@
         let now = self.node.now();
         let mut state = self.state();
         state.register.prune(now);
+        state.parts.prune(now);
         let State {
             register, healths, ..
         } = &mut *state;
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -126,6 +126,9 @@
         context: &mut Context,
         after: Option<&str>,
     ) -> pending::Outcome {
+        if self.is_suspect(&context.fingerprint, &context.request.parts) {
+            return pending::Outcome::Failed(retry::Failure::Suspect.into());
+        }
         let assignment = match self.choose_in_turn(context).await {
             Ok(assignment) => assignment,
             Err(cause) => {
@@ -228,6 +231,9 @@
         if !self.may_send(&assignment) {
             return Err(retry::Failure::Withdrawn);
         }
+        if !self.may_run(context) {
+            return Err(retry::Failure::Suspect);
+        }
         let timeouts = silence_timeouts(context, assignment.first_ms);
         progress.reach(progress::Stage::Sent);
         let expected = Expected {
@@ -486,6 +492,7 @@
             | retry::Failure::Limited(_)
             | retry::Failure::Withdrawn
             | retry::Failure::Excluded
+            | retry::Failure::Suspect
             | retry::Failure::Late
             | retry::Failure::Ending => {}
         }
@@ -549,6 +556,7 @@
         retry::Failure::Silent => "silent",
         retry::Failure::Slow => "slow",
         retry::Failure::Failed => "failed",
+        retry::Failure::Suspect => "suspect",
         retry::Failure::Late => "late",
         retry::Failure::Ending => "ending",
     }
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -13,6 +13,7 @@
 use crate::direct::home;
 use crate::direct::load;
 use crate::direct::model;
+use crate::direct::part;
 use crate::direct::place;
 use crate::direct::register;
 use crate::direct::retry;
@@ -49,6 +50,9 @@
     pub open_at: Vec<register::Instance>,
     /// Hash of workspace, host, URI and body: equal for equal requests.
     pub fingerprint: id::Fingerprint,
+    /// The answer of its current attempt, and when its first events came. `None`: no further events
+    /// came yet.
+    pub answer: Option<(Instant, part::Answer)>,
     /// Version of the configuration that routed it.
     pub version: u64,
     /// The stage that it is in, for logs and metrics.
--- a/src/edge/direct/dialect.rs
+++ b/src/edge/direct/dialect.rs
@@ -11,6 +11,9 @@
 use crate::direct::quota;
 use crate::direct::register;
 
+/// Most parts of a prompt that are read: a report on all of them fits into a datagram.
+pub const MAX_PARTS: usize = 64;
+
 /// Sizes of a request to a model as given by its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Size {
@@ -37,6 +40,8 @@
     pub size: Option<Size>,
     /// Id of the last event that the caller received of a stream that it resumes.
     pub last_event_id: Option<String>,
+    /// Keys of the parts of its prompt that other requests may share, at most [`MAX_PARTS`].
+    pub parts: Vec<u64>,
 }
 
 /// A helper server that reads a segment of the prompt, with the reservation of its memory.
--- a/src/edge/direct/heartbeat.rs
+++ b/src/edge/direct/heartbeat.rs
@@ -9,7 +9,6 @@
 use crate::direct::register;
 use crate::edge::event::Event;
 use crate::log_event;
-use crate::wire::id;
 
 /// The effect of a heartbeat.
 pub(crate) struct Update {
@@ -160,16 +159,4 @@
         self.pool.close_idle(instance);
         log_event!(self.node.log(), Event::ServerDisplaced, "server" => instance);
     }
-
-    /// A server died while it ran a request, which is a suspect from now on.
-    pub(crate) fn server_died(&self, request: id::Fingerprint, server: &register::Instance) {
-        let now = self.node.now();
-        if self.state().suspects.record_crash(now, request, server) {
-            self.broadcast(gossip::Message::Died(request, server.clone()));
-            if self.log_limiter.allow(Event::RequestSuspect, now) {
-                log_event!(self.node.log(), Event::RequestSuspect, "server" => &server,
-                    "fingerprint" => request.to_string());
-            }
-        }
-    }
 }
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -244,6 +244,9 @@
                 self.send_to_all(message);
             }
             self.refresh_evacuations();
+            for verdicts in self.direct.own_verdicts() {
+                self.send_to_all(gossip::Message::Parts(verdicts));
+            }
             let limits = self.direct.state().quotas.recent(now, RECORD_AGE);
             for reports in gossip::report_chunks(&limits) {
                 self.send_to_all(gossip::Message::Limits(reports));
@@ -353,6 +356,11 @@
             }
             gossip::Message::Grant(grant) => self.direct.receive_grant(grant),
             gossip::Message::Charged(server) => self.direct.receive_charge(server),
+            gossip::Message::Parts(news) => {
+                if let Some(answer) = self.direct.receive_part_news(news) {
+                    self.send(gossip::Message::Parts(answer), &[from.link]);
+                }
+            }
         }
         if from.version > self.direct.node.documents().version() {
             self.fetch_document(from.link);
@@ -369,7 +377,8 @@
         }
     }
 
-    /// Sends a new process what it cannot know yet: peers, records, limits and all loads.
+    /// Sends a new process what it cannot know yet: peers, records, limits, verdicts on
+    /// prompt parts and all loads.
     fn welcome(&mut self, now: Duration, addr: SocketAddr) {
         let lists_all = self.direct.settings.votes;
         let pages = self.direct.membership().welcome(lists_all);
@@ -387,6 +396,9 @@
         for reports in gossip::report_chunks(&limits) {
             self.send(gossip::Message::Limits(reports), &[addr]);
         }
+        for verdicts in self.direct.all_verdicts() {
+            self.send(gossip::Message::Parts(verdicts), &[addr]);
+        }
         self.loads_due = true;
         self.loads_whole = true;
     }
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -86,7 +86,7 @@
             if direct.probe(&server).await.is_none() {
                 direct.pause_server(&server.life, "connection broken, and no answer since");
                 direct.log_crash(&run, &server.life, open);
-                direct.server_died(run.fingerprint, &server.life);
+                direct.server_crashed(&run, &server.life);
             } else {
                 let now = direct.node.now();
                 direct
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -162,10 +162,12 @@
         let name = workspace.map(|workspace| workspace.name.clone());
         let path = format!("{}{}", request.host, head.uri);
         let fingerprint = id::Fingerprint::of(name.as_deref().unwrap_or(""), &path, &body);
-        let now = self.node.now();
-        if self.state().suspects.is_poison(now, &fingerprint) {
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return Err(Rejection::new(status, "backend servers died under it"));
+        if self.is_suspect(&fingerprint, &request.parts) {
+            return Err(Rejection {
+                status: StatusCode::SERVICE_UNAVAILABLE,
+                why: "backend servers died under it",
+                retry_after: Some(retry::SUSPECT_RETRY_AFTER),
+            });
         }
         let began = progress.lock().began;
         progress.lock().deadline = Some(began + limit);
@@ -186,6 +188,7 @@
             failed_servers: Vec::new(),
             open_at: Vec::new(),
             fingerprint,
+            answer: None,
             version: catalog.version(),
             progress: progress.clone(),
             lifetime: self.node.lifetime().clone(),
@@ -232,6 +235,9 @@
         let failure = match outcome {
             Ok(Ok(attempt::Response::Complete(response))) => {
                 span.first_event(0.0);
+                if response.head.status.is_success() {
+                    self.run_ended_well(&context);
+                }
                 span.end(response.head.status, "answered");
                 return pass_on(response);
             }
@@ -405,11 +411,12 @@
                     Ok(Some(chunk)) => {
                         context.progress.reach(progress::Stage::Answering);
                         span.events_passed(chunk.events);
+                        direct.observe_run(&mut context);
                         after = chunk.last_id.or(after);
                         yield Ok(body::Frame::data(chunk.bytes));
                     }
                     Ok(None) => {
-                        direct.state().suspects.clear(&context.fingerprint);
+                        direct.run_ended_well(&context);
                         direct.observe_writing(&context, began.elapsed());
                         span.end(status, "answered");
                         return;
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -80,6 +80,9 @@
     ServerSilent = 223, Info, "request leaves a silent backend server, or stays with it";
     RequestPartial = 224, Warning, "caller's connection closed with a request that had come in part";
     RunCrashed = 225, Warning, "backend server crashed under a request that it ran";
+    PartConvicted = 226, Warning, "prompt part convicted: requests with it are rejected";
+    PartAcquitted = 227, Info, "prompt part acquitted: an answer on it was written";
+    PartTried = 228, Info, "request sent to try a convicted prompt part";
     DocumentInForce = 230, Info, "published configuration in force";
     DocumentRefused = 231, Warning, "published configuration refused: it has findings";
     DocumentTaken = 232, Info, "change of the published configuration answered";
--- a/tests/part_verdicts.rs
+++ b/tests/part_verdicts.rs
@@ -9,6 +9,7 @@
 use std::collections::BinaryHeap;
 use std::time::Duration;
 
+use wigeonbarrow::direct::gossip;
 use wigeonbarrow::direct::part::Answer;
 use wigeonbarrow::direct::part::Crash;
 use wigeonbarrow::direct::part::Decision;
@@ -17,6 +18,7 @@
 use wigeonbarrow::direct::part::Parts;
 use wigeonbarrow::direct::part::Verdict;
 use wigeonbarrow::direct::rendezvous;
+use wigeonbarrow::wire::id;
 
 const START: Duration = Duration::from_secs(100);
 const FAULTY: u64 = 0xbad;
@@ -223,6 +225,48 @@
     assert!(parts.len() <= 3 * 4_096, "{}", parts.len());
 }
 
+#[test]
+fn news_fits_into_packet() {
+    let large = u64::MAX;
+    let mut parts = Parts::default();
+    for number in 0..500 {
+        let verdict = Verdict {
+            part: large - number,
+            trials: 9,
+            trial_in_ms: u32::MAX,
+        };
+        parts.hear_verdict(START, verdict);
+    }
+    let all: Vec<u64> = (0..64).map(|number| large - number).collect();
+    let mut news: Vec<News> = parts
+        .verdicts(START, |_| true)
+        .into_iter()
+        .map(News::Verdicts)
+        .collect();
+    news.push(News::Crash(crash(large, large, &all)));
+    news.push(News::Acquittals(all));
+    for news in news {
+        let datagram = gossip::Datagram {
+            from: gossip::Peer {
+                link: "10.1.1.1:7000".parse().unwrap(),
+                life: id::Incarnation(large),
+                zone: "zone-with-a-name".to_owned(),
+                votes: false,
+                leads: false,
+                first_start: false,
+                serves: true,
+                version: large,
+            },
+            seq: large,
+            relay: true,
+            news: gossip::Message::Parts(news),
+        };
+        let bytes = gossip::encode(&datagram);
+        assert!(bytes.len() <= gossip::MAX_BYTES, "{}", bytes.len());
+        assert_eq!(gossip::decode(&bytes).unwrap(), datagram);
+    }
+}
+
 /// What disturbs a fleet besides the faulty part.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Trouble {
--- a/tests/retry_verdicts.rs
+++ b/tests/retry_verdicts.rs
@@ -225,3 +225,22 @@
         ));
     }
 }
+
+/// A request under which servers crashed is not sent again, and says "not run" only if it did not run.
+#[test]
+fn suspect_ends() {
+    let failure = Failure::Suspect;
+    assert_eq!(
+        retry::reply(&failure, history(0), LEFT),
+        Reply::Busy(retry::SUSPECT_RETRY_AFTER)
+    );
+    assert_eq!(retry::reply(&failure, history(1), LEFT), Reply::Failed);
+    for kind in [Kind::Safe, Kind::Unsafe, Kind::Stream] {
+        assert!(!retry::is_allowed(
+            &route(kind, true),
+            &failure,
+            history(0),
+            LEFT
+        ));
+    }
+}
