A server that stays dark has crashed under the requests that left it

Cause: a crash was recognized only by a broken connection and a probe without an answer. A server that goes dark breaks its connections when its next life begins, and that life answers the probe. Change: a server that a request left for its silence is probed for 0.9 s more, by one watch for all its requests; if it answers none of these probes, it has crashed. After a broken connection it has crashed too if another life is known at its address a second later, also where its limit forbids a probe. A sound server that is silent for a second answers before.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -2,6 +2,7 @@
 //! callers, the client of backend servers, and the gossip datagrams between processes.
 
 use std::collections::BTreeMap;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -145,6 +146,8 @@
     /// Messages to send once, each to one process.
     unicasts: Mutex<Vec<(SocketAddr, gossip::Message)>>,
     grant_requests: Mutex<grant::Requests>,
+    /// Silent servers that are watched, each with the requests that left it.
+    watches: Mutex<HashMap<register::Instance, Vec<suspicion::Run>>>,
     /// Notified when a configuration came into force or a backend server became known.
     availability_changed: Notify,
 }
@@ -188,6 +191,7 @@
             message_queued: Notify::new(),
             unicasts: Mutex::default(),
             grant_requests: Mutex::default(),
+            watches: Mutex::default(),
             availability_changed: Notify::new(),
             settings,
         })
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -478,7 +478,10 @@
         }
         match cause {
             retry::Failure::Unsent => self.pause_server(&server.life, "no connection"),
-            retry::Failure::Silent => self.pause_server(&server.life, "silent"),
+            retry::Failure::Silent => {
+                self.pause_server(&server.life, "silent");
+                self.watch_silence(suspicion::Run::new(context), server);
+            }
             retry::Failure::Slow | retry::Failure::Failed => {
                 self.state()
                     .healths
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -23,6 +23,15 @@
 /// Time from the end of one probe to the next.
 const PROBE_DELAY: Duration = Duration::from_millis(800);
 
+/// Time from a broken connection to the first heartbeat of the server's next life, if it has one
+/// already.
+const REPLACED_WITHIN: Duration = Duration::from_secs(1);
+
+/// Time for which a server that a request left for its silence is probed, and the delay between two of
+/// these probes. With the silence before, it is twice as long as a sound server may be silent.
+const DARK_AFTER: Duration = Duration::from_millis(900);
+const DARK_PROBE_DELAY: Duration = Duration::from_millis(300);
+
 /// Outcome of the last probe of a server that a request waits for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Outcome {
@@ -66,8 +75,8 @@
         }
     }
 
-    /// Probes a server after a connection to it broke. If it does not respond, it has died and the
-    /// request is a suspect.
+    /// Probes a server after a connection to it broke. If it does not respond, or another life of it
+    /// is soon known at its address, it has died and the request is a suspect.
     pub(super) fn check_after_disconnect(
         self: &Arc<Self>,
         run: suspicion::Run,
@@ -75,28 +84,76 @@
     ) {
         let open = self.open_runs(&server.life);
         let now = self.node.now();
-        if self.state().is_limited(now, &server.life) {
-            self.state()
+        let is_limited = self.state().is_limited(now, &server.life);
+        let direct = Arc::clone(self);
+        tokio::spawn(async move {
+            if !is_limited && direct.probe(&server).await.is_none() {
+                direct.pause_server(&server.life, "connection broken, and no answer since");
+                let evidence = "connection broken, no answer to a probe";
+                return direct.server_crashed(&run, &server.life, open, evidence);
+            }
+            let now = direct.node.now();
+            direct
+                .state()
                 .healths
                 .record_response(now, &server.life, false);
+            time::sleep(REPLACED_WITHIN).await;
+            if direct.is_replaced(&server) {
+                let evidence = "connection broken, another life at its address";
+                direct.server_crashed(&run, &server.life, open, evidence);
+            }
+        });
+    }
+
+    /// Watches a server that a request has left because it is silent. If it stays silent, it has died
+    /// and all requests that left it are suspects. Several watches of one server are one.
+    pub(super) fn watch_silence(self: &Arc<Self>, run: suspicion::Run, server: &register::Record) {
+        if self.state().is_limited(self.node.now(), &server.life) {
             return;
         }
-        let direct = Arc::clone(self);
+        let is_watched = {
+            let mut watches = self.watches.lock().expect("watches lock");
+            let runs = watches.entry(server.life.clone()).or_default();
+            runs.push(run);
+            runs.len() > 1
+        };
+        if is_watched {
+            return;
+        }
+        let open = self.open_runs(&server.life);
+        let (direct, server) = (Arc::clone(self), server.clone());
         tokio::spawn(async move {
-            if direct.probe(&server).await.is_none() {
-                direct.pause_server(&server.life, "connection broken, and no answer since");
-                direct.log_crash(&run, &server.life, open);
-                direct.server_crashed(&run, &server.life);
-            } else {
-                let now = direct.node.now();
-                direct
-                    .state()
-                    .healths
-                    .record_response(now, &server.life, false);
+            let is_dark = direct.stays_silent(&server).await;
+            let mut watches = direct.watches.lock().expect("watches lock");
+            let runs = watches.remove(&server.life).unwrap_or_default();
+            drop(watches);
+            for run in runs.iter().filter(|_| is_dark) {
+                direct.server_crashed(run, &server.life, open, "silent for long");
             }
         });
     }
 
+    /// Whether a silent server stays so for longer than a sound one, or another life of it answers.
+    async fn stays_silent(&self, server: &register::Record) -> bool {
+        let until = self.node.now() + DARK_AFTER;
+        loop {
+            time::sleep(DARK_PROBE_DELAY).await;
+            if self.probe(server).await.is_some() {
+                return self.is_replaced(server);
+            }
+            if self.node.now() >= until {
+                return true;
+            }
+        }
+    }
+
+    /// Whether another server is known at the address of `server`.
+    fn is_replaced(&self, server: &register::Record) -> bool {
+        let state = self.state();
+        let holder = state.register.at(server.addr);
+        holder.is_some_and(|holder| holder.life != server.life)
+    }
+
     /// Returns when the server does not respond to a probe. `quiet`: time before the first probe,
     /// `last`: set to the outcome of each probe.
     pub(super) async fn until_unresponsive(
--- a/src/edge/direct/resume.rs
+++ b/src/edge/direct/resume.rs
@@ -134,7 +134,10 @@
     ) -> Resumed {
         let Source { reader, server } = source;
         match cause {
-            retry::Failure::Silent => self.pause_server(&server.life, "silent midway"),
+            retry::Failure::Silent => {
+                self.pause_server(&server.life, "silent midway");
+                self.watch_silence(suspicion::Run::new(context), server);
+            }
             retry::Failure::Slow => {}
             _ => self.check_after_disconnect(suspicion::Run::new(context), server.clone()),
         }
--- a/src/edge/direct/suspicion.rs
+++ b/src/edge/direct/suspicion.rs
@@ -77,11 +77,11 @@
 
     /// Logs that a server crashed under a request. `open`: requests of this entry that were on it when
     /// the connection broke, this one included or not.
-    pub(super) fn log_crash(&self, run: &Run, server: &register::Instance, open: usize) {
+    fn log_crash(&self, run: &Run, server: &register::Instance, open: usize, evidence: &str) {
         let now = self.node.now();
         if self.log_limiter.allow(Event::RunCrashed, now) {
             log_event!(self.node.log(), Event::RunCrashed, "request" => &run.request,
-                "server" => server, "evidence" => "connection broken, no answer to a probe",
+                "server" => server, "evidence" => evidence,
                 "stage" => run.stage.name(), "events" => run.events,
                 "wrote_ms" => run.answer.map_or(-1, |(wrote, _)| wrote.as_millis() as i64),
                 "open" => open);
@@ -90,7 +90,14 @@
 
     /// A server crashed while it ran a request. If the request had just begun there, it and the parts
     /// of its prompt are suspects from now on.
-    pub(super) fn server_crashed(&self, run: &Run, server: &register::Instance) {
+    pub(super) fn server_crashed(
+        &self,
+        run: &Run,
+        server: &register::Instance,
+        open: usize,
+        evidence: &str,
+    ) {
+        self.log_crash(run, server, open, evidence);
         if !run.is_beginning() {
             return;
         }
