Parts that were convicted together are tried after a second

Cause: two parts with the same crashes, of which no answer is known, are convicted together after five servers, though most of them are sound. A first part that all requests of a workspace share would be rejected for a minute. That takes a loss of the memory of all entries while servers crash and no answer is written; it was found by reading, not seen. Change: their first trial comes after a second. A request that has only one of them tells them apart; one with both is rejected until then. The faulty one costs one server more. Evidence: inseparable_parts_convicted fails on the module before and passes with the change. fleet_restarts_at_once passes on both.

--- a/src/direct/part.rs
+++ b/src/direct/part.rs
@@ -48,6 +48,9 @@
 const FIRST_TRIAL: Duration = Duration::from_secs(60);
 const MAX_TRIAL_STEPS: u32 = 6;
 
+/// The same for parts that were convicted together: most of them are sound.
+const FIRST_TIED_TRIAL: Duration = Duration::from_secs(1);
+
 /// Time after which a verdict is dropped if no request came to try the part.
 const FORGET_AFTER: Duration = Duration::from_secs(3_600);
 
@@ -321,14 +324,18 @@
                 continue;
             }
             let servers = suspect.servers();
-            self.convict(now, part, 0, now + FIRST_TRIAL);
-            convicted.push(part);
             // Parts that tie are convicted together, or none of them would be later.
-            let tied = self.tied(part, &servers);
-            for part in &tied {
-                self.convict(now, *part, 0, now + FIRST_TRIAL);
+            let mut guilty = self.tied(part, &servers);
+            let pause = if guilty.is_empty() {
+                FIRST_TRIAL
+            } else {
+                FIRST_TIED_TRIAL
+            };
+            guilty.push(part);
+            for part in &guilty {
+                self.convict(now, *part, 0, now + pause);
             }
-            convicted.extend(tied);
+            convicted.extend(guilty);
             self.explain(&servers);
         }
         convicted
--- a/tests/part_verdicts.rs
+++ b/tests/part_verdicts.rs
@@ -114,6 +114,20 @@
     crash_all(&mut parts, 4..5, &[6, FAULTY]);
     let convicted: BTreeSet<u64> = parts.judge(at(2_000)).into_iter().collect();
     assert_eq!(convicted, BTreeSet::from([6, FAULTY]));
+    // A request with one of them only tells them apart soon.
+    let soon = at(3_000);
+    assert_eq!(
+        parts.decide(soon, &[6, FAULTY], |_| true),
+        Decision::Reject(FAULTY)
+    );
+    assert_eq!(parts.decide(soon, &[6], |_| true), Decision::Try(6));
+    parts.begin_trial(soon, 6);
+    assert_eq!(parts.acquit(soon, &[6]), [6]);
+    assert_eq!(parts.decide(soon, &[6], |_| true), Decision::Send);
+    assert_eq!(
+        parts.decide(soon, &[6, FAULTY], |_| true),
+        Decision::Try(FAULTY)
+    );
 }
 
 /// A part that was sound before and then takes part in a crash of many servers at once.
@@ -368,6 +382,7 @@
     entries: Vec<(Parts, u64)>,
     /// When each entry was last started.
     restarted: Vec<Duration>,
+    restart_all_at: Option<Duration>,
     servers: Vec<Server>,
     next: u64,
     queue: BinaryHeap<Reverse<(Duration, u64, usize)>>,
@@ -390,6 +405,7 @@
                 .map(|key| (Parts::default(), 0x1234_5678 * (key as u64 + 1)))
                 .collect(),
             restarted: vec![START; fleet.entries],
+            restart_all_at: None,
             servers: (0..fleet.servers).map(server).collect(),
             next: 1_000,
             queue: BinaryHeap::new(),
@@ -686,6 +702,12 @@
         for step in 1..=seconds * 200 {
             self.now = at(step * 5);
             self.disturb(step);
+            if self.restart_all_at.take_if(|at| *at <= self.now).is_some() {
+                for (parts, _) in &mut self.entries {
+                    *parts = Parts::default();
+                }
+                self.restarted.fill(self.now);
+            }
             self.run_servers();
             while let Some(Reverse((due, number, entry))) = self.queue.peek().copied() {
                 if due > self.now {
@@ -779,6 +801,32 @@
     );
 }
 
+/// All entries restart while the part crashes servers: nobody knows which other parts are sound.
+#[test]
+fn fleet_restarts_at_once() {
+    let fleet = Fleet {
+        entries: 11,
+        servers: 14,
+        sound_rate: 17.0,
+        faulty_rate: 5.0,
+        trouble: Trouble::None,
+    };
+    for seed in 0..10 {
+        let mut model = Model::new(fleet, seed);
+        model.restart_all_at = Some(at(8_600));
+        let outcome = model.play(40);
+        println!(
+            "seed {seed}: {} crashes, sound {}, rejected {} ({} later), false verdicts {:?}",
+            outcome.crashes.len(),
+            outcome.sound,
+            outcome.sound_rejected,
+            outcome.sound_rejected_later,
+            outcome.false_verdicts,
+        );
+        assert_eq!(outcome.sound_rejected_later, 0, "seed {seed}");
+    }
+}
+
 /// The faulty part comes once in some seconds, so that most crashes are far apart.
 #[test]
 fn rare_faulty_part() {
