Refuse new connections while the event loop is late

What callers saw: most new connections went to one entry. It read their requests, answered them too late, and no caller could try another entry before it had lost its time. Cause: an entry accepted every connection. A turn of its event loop grew with all that it had read, so all became late together. Why it works: the delay between the accept of a connection and the first run of its task is one turn of the loop. A closed connection costs its caller one more connection; a request that was read may cost its whole time. Refusals have a bound of their own, and fewer connections wait for their accept, so that none is accepted that its caller has left. It costs two looks at the clock a connection and no timer. Ruled out: only to stop accepting. Callers wait a second for a connection that is not established, and those that wait in the queue are accepted when their callers have left.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -6,6 +6,7 @@
 //! between entries: each request belongs to one entry, which sends it again only after "not run".
 //! This module does no input or output and reads no clock.
 
+pub mod admission;
 pub mod backlog;
 pub mod budget;
 pub mod catalog;
--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -42,6 +42,9 @@
 /// Time between two sweeps, and between two checks of the settings file.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
+/// Connections of others than callers that may wait for their accept.
+const BACKLOG: u32 = 1_024;
+
 /// All settings of a process.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -112,7 +115,7 @@
 ) -> anyhow::Result<()> {
     let node = node::Node::new(setup.node.clone(), log.clone());
     let link = setup.node.link;
-    let links = bind(link).await.context("link listener")?;
+    let links = bind(link, BACKLOG).await.context("link listener")?;
     let datagrams = UdpSocket::bind(link).await.context("datagram socket")?;
     if let Some(control) = &setup.control {
         let role = control::Control::start(&node, control.clone()).context("control role")?;
@@ -122,21 +125,28 @@
     let (listeners, closing) = stop::Listeners::open();
     // The callers' listener comes last: a process that fails to start accepts no connection that it
     // would then cut.
-    let admin = bind_any(setup.admin, "operators' listener").await?;
+    let admin = bind_any(setup.admin, BACKLOG, "operators' listener").await?;
     let mut status_listeners = Vec::new();
     for addr in setup.ready.into_iter().chain(setup.metrics) {
-        status_listeners.push(bind(addr).await.context("readiness and metrics")?);
+        status_listeners.push(bind(addr, BACKLOG).await.context("readiness and metrics")?);
     }
-    let front = bind_any(setup.front, "callers' listener").await?;
+    let front = bind_any(setup.front, listener::BACKLOG, "callers' listener").await?;
     if let Some(listener) = front {
         let handler = Arc::clone(&direct);
         let open = listeners.callers.clone();
-        tokio::spawn(listener::serve(listener, handler, closing.clone(), open));
+        let gate = Some(Arc::default());
+        tokio::spawn(listener::serve(
+            listener,
+            handler,
+            closing.clone(),
+            open,
+            gate,
+        ));
     }
     if let Some(listener) = admin {
         let handler = (platform.admin)(&direct);
         let open = listeners.operators.clone();
-        tokio::spawn(listener::serve(listener, handler, closing, open));
+        tokio::spawn(listener::serve(listener, handler, closing, open, None));
     }
     let status = Arc::new(Status {
         direct: Arc::clone(&direct),
@@ -151,6 +161,7 @@
             handler,
             always_open.clone(),
             open,
+            None,
         ));
     }
     let key = setup.node.process_key.clone();
@@ -296,19 +307,20 @@
 
 async fn bind_any(
     addr: Option<SocketAddr>,
+    backlog: u32,
     what: &'static str,
 ) -> anyhow::Result<Option<TcpListener>> {
     match addr {
-        Some(addr) => bind(addr).await.context(what).map(Some),
+        Some(addr) => bind(addr, backlog).await.context(what).map(Some),
         None => Ok(None),
     }
 }
 
 /// Binds `addr`, with retries: the former process may still be closing.
-async fn bind(addr: SocketAddr) -> anyhow::Result<TcpListener> {
+async fn bind(addr: SocketAddr, backlog: u32) -> anyhow::Result<TcpListener> {
     let mut retries = 0;
     loop {
-        match TcpListener::bind(addr).await {
+        match listener::bind(addr, backlog) {
             Ok(listener) => return Ok(listener),
             Err(err) if retries >= 20 => return Err(err).with_context(|| addr.to_string()),
             Err(_) => retries += 1,
--- a/src/edge/direct/listener.rs
+++ b/src/edge/direct/listener.rs
@@ -5,8 +5,11 @@
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -30,10 +33,13 @@
 use tokio::io::AsyncWrite;
 use tokio::io::ReadBuf;
 use tokio::net::TcpListener;
+use tokio::net::TcpSocket;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time;
 
+use crate::direct::admission;
+
 /// Delay after a failed accept, as when all file descriptors are in use.
 const ACCEPT_DELAY: Duration = Duration::from_millis(50);
 
@@ -41,6 +47,19 @@
 const TIMED_OUT: &[u8] =
     b"HTTP/1.1 408 Request Timeout\r\nconnection: close\r\ncontent-length: 0\r\n\r\n";
 
+/// Callers' connections that may wait for their accept. A caller abandons one that was not read within a
+/// second, which is about what the smallest entry serves of them.
+pub const BACKLOG: u32 = 128;
+
+/// Refused connections after which the listener pauses, so that refusals take a small part of the
+/// processor. Further ones wait, or are not established.
+const REFUSED_AT_ONCE: u32 = 32;
+
+const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
+
+/// Interval of log lines while connections are refused.
+const REFUSAL_REPORT: Duration = Duration::from_secs(1);
+
 /// Chunks of a streamed body.
 pub type Chunks = Pin<Box<dyn futures_core::Stream<Item = io::Result<body::Frame<Bytes>>> + Send>>;
 
@@ -78,6 +97,10 @@
 
     /// Logs that a connection closed with this many bytes of an incomplete request head.
     fn log_partial(&self, _bytes: usize) {}
+
+    /// Logs that connections were closed unread since the last line, and how many are accepted a
+    /// second.
+    fn log_refused(&self, _refused: u32, _limit: f64) {}
 }
 
 /// How far a listener has shut down.
@@ -233,32 +256,117 @@
 
 impl<H: Handler> rt::Sleep for Wait<H> {}
 
+/// Decides on new connections by how late the event loop runs.
+pub struct Gate {
+    began: Instant,
+    admission: Mutex<admission::Admission>,
+}
+
+impl Default for Gate {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            admission: Mutex::default(),
+        }
+    }
+}
+
+impl Gate {
+    fn admit(&self, now: Instant) -> bool {
+        self.lock().admit(now - self.began)
+    }
+
+    /// Records the first run of the task of a connection.
+    fn observe(&self, accepted: Instant) {
+        let now = Instant::now();
+        self.lock().observe(now - self.began, now - accepted);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, admission::Admission> {
+        self.admission.lock().expect("admission lock")
+    }
+}
+
+/// Connections refused since the last log line.
+struct Refusals {
+    count: u32,
+    logged: Instant,
+}
+
+impl Refusals {
+    /// Counts one, and logs at most one line an interval.
+    fn add<H: Handler>(&mut self, handler: &H, gate: &Gate, now: Instant) {
+        self.count += 1;
+        if now.duration_since(self.logged) < REFUSAL_REPORT {
+            return;
+        }
+        let limit = gate.lock().limit().unwrap_or_default();
+        handler.log_refused(self.count, limit);
+        *self = Self {
+            count: 0,
+            logged: now,
+        };
+    }
+}
+
+/// A listener at `addr` for which `backlog` connections may wait.
+pub fn bind(addr: SocketAddr, backlog: u32) -> io::Result<TcpListener> {
+    let socket = match addr {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(backlog)
+}
+
 /// Serves connections until `stage` is [`Stage::Closing`]. Then new connections are refused, so
-/// that their callers try another process at once.
+/// that their callers try another process at once. `gate` refuses some before. `None`: it refuses
+/// none.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
     stage: watch::Receiver<Stage>,
     open: Connections,
+    gate: Option<Arc<Gate>>,
 ) {
     let mut closing = stage.clone();
+    let mut refusals = Refusals {
+        count: 0,
+        logged: Instant::now(),
+    };
+    let mut refused = 0;
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
             _ = closing.wait_for(|stage| *stage == Stage::Closing) => return,
         };
-        match accepted {
-            Ok((tcp, _)) => {
-                open.0.fetch_add(1, Ordering::AcqRel);
-                let counted = Counted(open.clone());
-                let conn = connection(tcp, Arc::clone(&handler), stage.clone());
-                tokio::spawn(async move {
-                    conn.await;
-                    drop(counted);
-                });
+        let Ok((tcp, _)) = accepted else {
+            time::sleep(ACCEPT_DELAY).await;
+            continue;
+        };
+        let now = Instant::now();
+        if let Some(gate) = gate.as_ref().filter(|gate| !gate.admit(now)) {
+            // Its caller sees that nothing was read, and tries another process.
+            drop(tcp);
+            refusals.add(&*handler, gate, now);
+            refused += 1;
+            if refused % REFUSED_AT_ONCE == 0 {
+                time::sleep(REFUSAL_PAUSE).await;
             }
-            Err(_) => time::sleep(ACCEPT_DELAY).await,
+            continue;
         }
+        open.0.fetch_add(1, Ordering::AcqRel);
+        let counted = Counted(open.clone());
+        let conn = connection(tcp, Arc::clone(&handler), stage.clone());
+        let gate = gate.clone();
+        tokio::spawn(async move {
+            if let Some(gate) = gate {
+                gate.observe(now);
+            }
+            conn.await;
+            drop(counted);
+        });
     }
 }
 
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -131,6 +131,11 @@
             log_event!(self.node.log(), Event::RequestPartial, "bytes" => bytes);
         }
     }
+
+    fn log_refused(&self, refused: u32, limit: f64) {
+        log_event!(self.node.log(), Event::ConnectionsRefused, "refused" => refused,
+            "limit" => limit);
+    }
 }
 
 impl Direct {
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -83,6 +83,7 @@
     PartConvicted = 226, Warning, "prompt part convicted: requests with it are rejected";
     PartAcquitted = 227, Info, "prompt part acquitted: an answer on it was written";
     PartTried = 228, Info, "request sent to try a convicted prompt part";
+    ConnectionsRefused = 229, Warning, "new connections closed unread: this process is late";
     DocumentInForce = 230, Info, "published configuration in force";
     DocumentRefused = 231, Warning, "published configuration refused: it has findings";
     DocumentTaken = 232, Info, "change of the published configuration answered";
