A stream that broke off never looks whole when its reader is asked again

What callers saw: 5 of 20 events and a regular end, from a stream whose silent server reset its connection while another one worked at it. Cause: the body of a response gives its error once, and looks ended afterwards. When the resumption was stopped by the deadline or the process's end, the reader that had broken off was read again. Why it works: the reader keeps the loss and gives it again.

--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -54,6 +54,8 @@
     keep_alive: Option<Duration>,
     closes: bool,
     has_started: bool,
+    /// Why the stream broke off. Its body looks regularly ended afterwards.
+    broken: Option<retry::Failure>,
 }
 
 impl Reader {
@@ -77,6 +79,7 @@
             keep_alive: response.keep_alive,
             closes: response.closes,
             has_started: false,
+            broken: None,
         }
     }
 
@@ -97,12 +100,17 @@
 
     /// Reads the next events. Cancel safe: it may be called again after its future was dropped.
     pub async fn next(&mut self) -> Next {
+        if let Some(cause) = &self.broken {
+            return Next::Lost(cause.clone());
+        }
         let next = self.read_next().await;
-        match next {
-            Next::Chunk(_) => {}
-            // The run that used the memory is over.
-            Next::End | Next::Lost(_) => self.memory = None,
+        match &next {
+            Next::Chunk(_) => return next,
+            Next::End => {}
+            Next::Lost(cause) => self.broken = Some(cause.clone()),
         }
+        // The run that used the memory is over.
+        self.memory = None;
         next
     }
 
