A request counts as run from its sending, also if the attempt is dropped

What servers saw: a third one ran a request whose route allows two, after its first server had gone on and broken off while the attempt at the second was in progress. Cause: an attempt was counted when it ended. One that was dropped because another responded first had run and was not counted; only the process's end had a rule of its own for that. Why it works: the count rises when the request is sent and falls when its server says "not run", so it errs upwards only.

--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -142,7 +142,7 @@
         let outcome = tokio::select! {
             biased;
             outcome = self.attempt_at(context, assignment, after) => outcome,
-            () = cancelled => pending::Outcome::Failed(context.end_with_process().into()),
+            () = cancelled => pending::Outcome::Failed(retry::Failure::Ending.into()),
         };
         let cause = match &outcome {
             pending::Outcome::Answered(_) => {
@@ -236,6 +236,8 @@
         }
         let timeouts = silence_timeouts(context, assignment.first_ms);
         progress.reach(progress::Stage::Sent);
+        // It may run from now on, also if this attempt is dropped.
+        context.history.ran += 1;
         let expected = Expected {
             id: context.request.id.clone(),
             is_stream: context.route.kind == catalog::Kind::Stream,
@@ -266,23 +268,17 @@
             timeouts,
             head_received,
         } = sent;
-        // The request was sent, so this attempt may have run.
-        let history = retry::History {
-            ran: context.history.ran + 1,
-            ..context.history
-        };
         loop {
             let answered = tokio::select! {
                 biased;
                 answered = &mut attempt.answering => answered,
                 // The server works at it: the timeouts begin anew.
                 () = head_received.notified() => continue,
-                cause = self.left(context, history, &attempt.server, timeouts) => {
-                    context.history.ran += 1;
+                cause = self.left(context, &attempt.server, timeouts) => {
                     return pending::Outcome::Left(cause, attempt);
                 }
             };
-            context.history.ran += u32::from(answered.ran);
+            context.history.ran -= u32::from(!answered.ran);
             return match answered.outcome {
                 Ok(response) => pending::Outcome::Answered(response),
                 Err(failure) => pending::Outcome::Failed(failure),
@@ -415,11 +411,10 @@
 
     /// Resolves once a request should leave its server, with the reason: it answers nothing at all,
     /// or it answers probes and another server would answer this request sooner. One retry has been
-    /// taken from the budget then. `history`: includes the attempt at this server.
+    /// taken from the budget then.
     pub(super) async fn left(
         &self,
         context: &Context,
-        history: retry::History,
         server: &register::Record,
         timeouts: deadline::Silence,
     ) -> retry::Failure {
@@ -430,7 +425,7 @@
                 let quiet = timeouts.probe_after;
                 self.until_unresponsive(server, quiet, &mut silence.probed)
                     .await;
-                match self.may_move(context, history, &server.life, silence) {
+                match self.may_move(context, &server.life, silence) {
                     Ok(()) => return,
                     Err(retry::Denial::Budget) => {}
                     // No later attempt is allowed either.
@@ -442,7 +437,7 @@
             loop {
                 time::sleep(timeouts.move_after).await;
                 if self.has_better_server(context, &server.life)
-                    && self.may_move(context, history, &server.life, begun).is_ok()
+                    && self.may_move(context, &server.life, begun).is_ok()
                 {
                     return;
                 }
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -73,15 +73,6 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
-    /// Cancels the attempt in progress because this process exits. One that was sent counts as
-    /// having run.
-    pub fn end_with_process(&mut self) -> retry::Failure {
-        if self.progress.lock().stage == progress::Stage::Sent {
-            self.history.ran += 1;
-        }
-        retry::Failure::Ending
-    }
-
     /// Time within which the rest of its response is most likely generated.
     pub fn write_time_bound(&self, known: &writing::Writing) -> Duration {
         known.upper_bound(&self.service, self.modelled_write_time())
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -235,7 +235,7 @@
         let outcome = tokio::select! {
             biased;
             outcome = time::timeout_at(deadline, self.attempt_until_done(&mut context, None)) => outcome,
-            () = lifetime.expired() => Ok(Err(context.end_with_process().into())),
+            () = lifetime.expired() => Ok(Err(retry::Failure::Ending.into())),
         };
         let failure = match outcome {
             Ok(Ok(attempt::Response::Complete(response))) => {
--- a/src/edge/direct/resume.rs
+++ b/src/edge/direct/resume.rs
@@ -70,7 +70,7 @@
         };
         loop {
             let Source { reader, server } = source;
-            let left = self.left(context, context.history, server, timeouts);
+            let left = self.left(context, server, timeouts);
             let cause = tokio::select! {
                 biased;
                 next = time::timeout_at(deadline, reader.next()) => match next {
--- a/src/edge/direct/silence.rs
+++ b/src/edge/direct/silence.rs
@@ -36,17 +36,15 @@
 
 impl Direct {
     /// Whether a request may leave the server that it waits for. Takes one retry from the budget if
-    /// so. Otherwise the request keeps waiting, as a response may still come. `history`: its
-    /// attempts, with the one in progress.
+    /// so. Otherwise the request keeps waiting, as a response may still come.
     pub(super) fn may_move(
         &self,
         context: &Context,
-        history: retry::History,
         server: &register::Instance,
         silence: Silence,
     ) -> Result<(), retry::Denial> {
         let cause = retry::Failure::Slow;
-        let allowed = retry::check(&context.route, &cause, history, context.time_left())
+        let allowed = retry::check(&context.route, &cause, context.history, context.time_left())
             .and_then(|()| self.spend_retry(&context.service));
         if self.log_limiter.allow(Event::ServerSilent, self.node.now()) {
             let (decision, why) = match allowed {
@@ -57,7 +55,7 @@
             log_event!(self.node.log(), Event::ServerSilent, "request" => &context.request.id,
                 "server" => server, "stage" => stage, "silent_ms" => silence.duration().as_millis() as u64,
                 "probe" => silence.probed.name(), "decision" => decision, "why" => why,
-                "ran" => history.ran, "tried" => history.tried,
+                "ran" => context.history.ran, "tried" => context.history.tried,
                 "left_ms" => context.time_left().as_millis() as u64);
         }
         allowed
