Attempts are kept while one is open, for when it fails

What callers saw: a stream was cut when its server, silent before, broke off, although another server would have taken it by then. Cause: while the silent server's attempt was open, all further attempts were spent on rejections within 0.4 s. Why it works: two attempts are kept while an earlier one is open. The list of servers with open attempts is cleared once none is.

--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -67,9 +67,22 @@
     pub tried: u32,
 }
 
+impl History {
+    /// As it counts for another attempt while an earlier one is open.
+    #[must_use]
+    pub fn beside_open(self) -> Self {
+        let tried = self.tried + KEPT_ATTEMPTS;
+        Self { tried, ..self }
+    }
+}
+
 /// Attempts of a request, including rejected and unsent ones: each loads the backend servers.
 const MAX_ATTEMPTS: u32 = 6;
 
+/// Attempts that are kept while an earlier one is open: it may still fail, when others have capacity
+/// again.
+const KEPT_ATTEMPTS: u32 = 2;
+
 /// Least time before the deadline for which another attempt is worthwhile.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(30);
 
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -237,6 +237,7 @@
             outcome = time::timeout_at(deadline, self.attempt_until_done(&mut context, None)) => outcome,
             () = lifetime.expired() => Ok(Err(retry::Failure::Ending.into())),
         };
+        context.open_at.clear();
         let failure = match outcome {
             Ok(Ok(attempt::Response::Complete(response))) => {
                 span.first_event(0.0);
@@ -377,7 +378,12 @@
         context: &Context,
         cause: &retry::Failure,
     ) -> Result<(), retry::Denial> {
-        retry::check(&context.route, cause, context.history, context.time_left())?;
+        let history = if context.open_at.is_empty() {
+            context.history
+        } else {
+            context.history.beside_open()
+        };
+        retry::check(&context.route, cause, history, context.time_left())?;
         match cause {
             retry::Failure::Unsent | retry::Failure::Withdrawn => Ok(()),
             _ => self.spend_retry(&context.service),
--- a/src/edge/direct/resume.rs
+++ b/src/edge/direct/resume.rs
@@ -110,13 +110,15 @@
         let unresumed = tokio::select! {
             biased;
             resumed = time::timeout_at(deadline, self.resume(context, source, cause, after)) => {
-                match resumed {
-                    Ok(resumed) => return resumed,
-                    Err(_) => cut::Reason::Late,
+                if let Ok(resumed) = resumed {
+                    context.open_at.clear();
+                    return resumed;
                 }
+                cut::Reason::Late
             }
             () = lifetime.expired() => cut::Reason::Ending,
         };
+        context.open_at.clear();
         if is_open(cause) {
             return Resumed::Open;
         }
@@ -169,7 +171,6 @@
                 }
             }
         };
-        context.open_at.clear();
         match first {
             Err(next) => {
                 self.record_success(&server.life);
--- a/src/edge/direct/silence.rs
+++ b/src/edge/direct/silence.rs
@@ -44,7 +44,8 @@
         silence: Silence,
     ) -> Result<(), retry::Denial> {
         let cause = retry::Failure::Slow;
-        let allowed = retry::check(&context.route, &cause, context.history, context.time_left())
+        let history = context.history.beside_open();
+        let allowed = retry::check(&context.route, &cause, history, context.time_left())
             .and_then(|()| self.spend_retry(&context.service));
         if self.log_limiter.allow(Event::ServerSilent, self.node.now()) {
             let (decision, why) = match allowed {
