A server's successor at its address is no sign of its life

Cause: a probe tells lives apart by the start time in the report, and not all reports name one. So the successor's report counted as the writer's, and a request stayed with a dead server as well. Evidence: memory_kept_by_successor failed before (140,400 tokens still set aside 4.5 s after the death), and passes; memory_leaks 7 of 7. Why it works: a probe counts as unanswered if the register knows another instance at the address.

--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -133,13 +133,13 @@
         });
     }
 
-    /// Whether a silent server stays so for longer than a sound one, or another life of it answers.
+    /// Whether a silent server stays so for longer than a sound one, or is replaced meanwhile.
     async fn stays_silent(&self, server: &register::Record) -> bool {
         let until = self.node.now() + DARK_AFTER;
         loop {
             time::sleep(DARK_PROBE_DELAY).await;
             if self.probe(server).await.is_some() {
-                return self.is_replaced(server);
+                return false;
             }
             if self.node.now() >= until {
                 return true;
@@ -194,7 +194,8 @@
             Some((report, sent_at, head.headers))
         };
         let (report, sent_at, headers) = time::timeout(PROBE_TIMEOUT, probing).await.ok()??;
-        if !server.life.may_match(report.started_ms) {
+        // Reports need not tell when the server started.
+        if !server.life.may_match(report.started_ms) || self.is_replaced(server) {
             return None;
         }
         self.observe_limit(&server.life, sent_at, &headers, quota::Source::Other);
