The loss of an open attempt is noted also if another one responds

Cause: attempts that broke off while a newer one was in progress were noted after that one ended, and not at all if a third one responded first. So a crash of their server was not checked. No test of its own; open_attempts and silent_servers cover the race.

--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -333,7 +333,7 @@
                     ended = open.next() => match ended.outcome {
                         Ok(response) => {
                             self.record_success(&ended.server.life);
-                            return pending::Outcome::Answered(response);
+                            break pending::Outcome::Answered(response);
                         }
                         Err(failure) => lost.push((ended.server, failure.cause)),
                     },
