A process that is late itself does not call servers silent

What callers saw: an entry that ran late rejected requests because servers had seemed to die under them, and told all others so. Cause: an entry missed the answers to its probes when its own event loop stood still, and took the servers for silent. Why it works: a probe whose timeout fires more than 50 ms late tells nothing: no crash, no pause, no move and no lost lease follows from it.

--- a/src/edge/direct/health_check.rs
+++ b/src/edge/direct/health_check.rs
@@ -10,6 +10,7 @@
 use tokio::time;
 
 use super::Direct;
+use super::probe;
 use crate::direct::gossip;
 use crate::direct::load;
 use crate::direct::register;
@@ -65,8 +66,9 @@
     let before = direct.state().healths.pace(&server.life);
     let report = direct.probe(&server).await;
     let pace = match report {
-        Some(report) => (report.pace.max(1.0) * 100.0) as u16,
-        None => UNRESPONSIVE,
+        Ok(report) => (report.pace.max(1.0) * 100.0) as u16,
+        Err(probe::Missing::Silent) => UNRESPONSIVE,
+        Err(probe::Missing::Unknown) => return,
     };
     if pace == UNRESPONSIVE {
         direct.pause_server(&server.life, "does not report");
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http_body_util::BodyExt as _;
@@ -20,6 +21,9 @@
 /// Timeout for the response to a probe: some round trips between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Lateness of a probe's timeout from which this process is late itself: the response may have come.
+const OWN_LATENESS: Duration = Duration::from_millis(50);
+
 /// Time from the end of one probe to the next.
 const PROBE_DELAY: Duration = Duration::from_millis(800);
 
@@ -32,6 +36,15 @@
 const DARK_AFTER: Duration = Duration::from_millis(900);
 const DARK_PROBE_DELAY: Duration = Duration::from_millis(300);
 
+/// Why a probe gave no report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Missing {
+    /// The server does not respond, or another instance does.
+    Silent,
+    /// This process ran too late to tell.
+    Unknown,
+}
+
 /// Outcome of the last probe of a server that a request waits for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Outcome {
@@ -87,7 +100,7 @@
         let is_limited = self.state().is_limited(now, &server.life);
         let direct = Arc::clone(self);
         tokio::spawn(async move {
-            if !is_limited && direct.probe(&server).await.is_none() {
+            if !is_limited && direct.is_silent(&server).await {
                 direct.pause_server(&server.life, "connection broken, and no answer since");
                 let evidence = "connection broken, no answer to a probe";
                 return direct.server_crashed(&run, &server.life, open, evidence);
@@ -138,7 +151,7 @@
         let until = self.node.now() + DARK_AFTER;
         loop {
             time::sleep(DARK_PROBE_DELAY).await;
-            if self.probe(server).await.is_some() {
+            if !self.is_silent(server).await {
                 return false;
             }
             if self.node.now() >= until {
@@ -167,7 +180,7 @@
         loop {
             let limited = self.state().is_limited(self.node.now(), &server.life);
             if !limited {
-                if self.probe(server).await.is_none() {
+                if self.is_silent(server).await {
                     *last = Outcome::Unanswered;
                     return;
                 }
@@ -177,8 +190,16 @@
         }
     }
 
-    /// Probes a server for its report. `None`: it does not respond, or another instance does.
-    pub(super) async fn probe(&self, server: &register::Record) -> Option<dialect::Report> {
+    /// Whether a server does not respond to a probe. `false` also if this process can't tell.
+    pub(super) async fn is_silent(&self, server: &register::Record) -> bool {
+        matches!(self.probe(server).await, Err(Missing::Silent))
+    }
+
+    /// Probes a server for its report.
+    pub(super) async fn probe(
+        &self,
+        server: &register::Record,
+    ) -> Result<dialect::Report, Missing> {
         let probing = async {
             let mut conn = pool::Conn::open(server.addr).await.ok()?;
             let request = http::Request::get(self.dialect.report_path())
@@ -193,15 +214,24 @@
             let report = self.dialect.report(&body).unwrap_or_default();
             Some((report, sent_at, head.headers))
         };
-        let (report, sent_at, headers) = time::timeout(PROBE_TIMEOUT, probing).await.ok()??;
+        let began = Instant::now();
+        let probed = time::timeout(PROBE_TIMEOUT, probing).await;
+        let Some((report, sent_at, headers)) = probed.ok().flatten() else {
+            let is_late = began.elapsed() > PROBE_TIMEOUT + OWN_LATENESS;
+            return Err(if is_late {
+                Missing::Unknown
+            } else {
+                Missing::Silent
+            });
+        };
         // Reports need not tell when the server started.
         if !server.life.may_match(report.started_ms) || self.is_replaced(server) {
-            return None;
+            return Err(Missing::Silent);
         }
         self.observe_limit(&server.life, sent_at, &headers, quota::Source::Other);
         if report.pace > 0.0 {
             self.state().healths.set_pace(&server.life, report.pace);
         }
-        Some(report)
+        Ok(report)
     }
 }
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -138,7 +138,7 @@
             let now = direct.node.now();
             // A server with a request limit is not probed: probes count against the limit.
             let is_limited = direct.state().is_limited(now, &server.life);
-            let is_alive = is_limited || direct.probe(&server).await.is_some();
+            let is_alive = is_limited || !direct.is_silent(&server).await;
             writer.probed(now, is_alive);
             alive_at.send_replace(writer.alive_at());
         }
