--- a/src/edge/direct/listener.rs
+++ b/src/edge/direct/listener.rs
@@ -420,7 +420,7 @@
         let parts = conn.into_parts();
         if !parts.read_buf.is_empty() {
             closed.log_partial(parts.read_buf.len());
-            // Nothing else was sent lately, so it fits into the socket's buffer.
+            // A few bytes fit into the socket's buffer; without room there is no answer.
             let _ = parts.io.into_inner().tcp.try_write(TIMED_OUT);
         }
     }
