What backend servers say of pauses and of leaving stands in the log

Callers' requests went to a server that had asked for none, and neither logs nor metrics told whether a 503 had named a time, which, and what was sent within it. Requests, probes and orders each sent by themselves, so there was no place to count it either.

All of them now go through outbound::send_to_server, which also observes the head of the response; a connection sends only with a Pass, which nothing else creates. 260 tells when a pause begins, extends and ends with what was sent since, 261 that a server says that it leaves, direct_sent_in_pause counts by kind. No decision depends on it yet.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -8,6 +8,7 @@
 
 pub mod admission;
 pub mod backlog;
+pub mod backoff;
 pub mod budget;
 pub mod catalog;
 pub mod congestion;
--- a/src/direct/tally.rs
+++ b/src/direct/tally.rs
@@ -21,7 +21,18 @@
     Order,
 }
 
-/// Numbers sent within [`WINDOW`].
+impl Kind {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Request => "request",
+            Self::Probe => "probe",
+            Self::Order => "order",
+        }
+    }
+}
+
+/// Numbers sent, by purpose.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Counts {
     /// Callers' requests.
@@ -32,6 +43,17 @@
     pub orders: u32,
 }
 
+impl Counts {
+    /// Counts one more.
+    pub fn add(&mut self, kind: Kind) {
+        match kind {
+            Kind::Request => self.requests += 1,
+            Kind::Probe => self.probes += 1,
+            Kind::Order => self.orders += 1,
+        }
+    }
+}
+
 /// What was sent, by instance of the receiving server.
 #[derive(Debug, Default)]
 pub struct Tally {
@@ -60,11 +82,7 @@
         };
         forget(now, times);
         for (_, kind) in times {
-            match kind {
-                Kind::Request => counts.requests += 1,
-                Kind::Probe => counts.probes += 1,
-                Kind::Order => counts.orders += 1,
-            }
+            counts.add(*kind);
         }
         counts
     }
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -17,6 +17,7 @@
 use super::document;
 use super::event::Event;
 use super::node;
+use crate::direct::backoff;
 use crate::direct::budget;
 use crate::direct::catalog;
 use crate::direct::congestion;
@@ -50,6 +51,7 @@
 pub mod listener;
 pub mod log_limit;
 pub mod mesh;
+pub mod outbound;
 pub mod pending;
 pub mod pool;
 pub mod probe;
@@ -108,6 +110,8 @@
     pub congestion: congestion::Congestion,
     /// Request limits that backend servers announce.
     pub quotas: quota::Quotas,
+    /// Pauses that backend servers asked for.
+    pub backoffs: backoff::Backoffs,
     /// Counts of what was recently sent to backend servers.
     pub tally: tally::Tally,
     /// How long responses took to generate after their first event.
@@ -171,6 +175,7 @@
             loads: load::Table::default(),
             congestion: congestion::Congestion::default(),
             quotas: quota::Quotas::default(),
+            backoffs: backoff::Backoffs::default(),
             tally: tally::Tally::default(),
             writing: writing::Writing::default(),
         };
@@ -378,6 +383,7 @@
     pub fn sweep(&self) {
         self.pool.prune();
         self.log_sent();
+        self.log_ended_pauses();
         self.prune_grants();
         let now = self.node.now();
         let mut state = self.state();
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -16,7 +16,15 @@
     pub(super) fn record_sent(&self, instance: &register::Instance, kind: tally::Kind) -> Duration {
         let now = self.node.now();
         self.counts.sent(kind);
-        self.state().tally.record(now, instance, kind);
+        let mut state = self.state();
+        state.tally.record(now, instance, kind);
+        if !state.backoffs.is_empty() {
+            let server = load::server_key(instance);
+            if state.backoffs.pause(now, server).is_some() {
+                self.counts.sent_in_pause(kind);
+            }
+            state.backoffs.record(now, server, kind);
+        }
         now
     }
 
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -15,6 +15,7 @@
 use super::choose::Assignment;
 use super::context::Context;
 use super::dialect;
+use super::outbound;
 use super::pending;
 use super::pool;
 use super::progress;
@@ -24,7 +25,6 @@
 use super::suspicion;
 use crate::direct::catalog;
 use crate::direct::deadline;
-use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::retry;
 use crate::direct::suspect;
@@ -370,30 +370,22 @@
         head_received: Arc<Notify>,
     ) -> Answered {
         let (mut conn, memory) = resources;
-        let life = &assignment.server.life;
-        let sent_at = self.record_sent(life, tally::Kind::Request);
-        let response = match conn.send(request).await {
-            Ok(response) => response,
+        let server = &assignment.server;
+        let target = outbound::Target::new(&server.life, server.addr);
+        let received = self
+            .send_to_server(&mut conn, target, tally::Kind::Request, request)
+            .await;
+        let outbound::Received { head, body, answer } = match received {
+            Ok(received) => received,
             Err(pool::Failure::Unsent(_)) => return Answered::not_run(retry::Failure::Unsent),
             Err(pool::Failure::Sent(_)) => {
                 return Answered::ran(Err(retry::Failure::Broken.into()));
             }
         };
         head_received.notify_one();
-        let (head, body) = response.into_parts();
-        let answer = self.dialect.response(&head);
-        // If another instance answers, its limit is not that of the expected server.
-        if !answer.displaced {
-            let source = if answer.sealed {
-                quota::Source::Run
-            } else {
-                quota::Source::Other
-            };
-            self.observe_limit(life, sent_at, &head.headers, source);
-        }
         if answer.not_run || answer.displaced {
             if answer.displaced && answer.at_fault.is_none() {
-                self.server_displaced(life);
+                self.server_displaced(&server.life);
             }
             return Answered::not_run(retry::Failure::NotRun {
                 at_fault: answer.at_fault,
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -56,6 +56,7 @@
     running: gauge::Gauge,
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
+    sent_in_pause: family::Family<For, counter::Counter>,
     limited: gauge::Gauge,
     grants: family::Family<For, counter::Counter>,
     evacuated: gauge::Gauge,
@@ -84,6 +85,7 @@
             running: gauge::Gauge::default(),
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
+            sent_in_pause: family::Family::default(),
             limited: gauge::Gauge::default(),
             grants: family::Family::default(),
             evacuated: gauge::Gauge::default(),
@@ -117,6 +119,11 @@
                 own.refused_heartbeats,
             );
             sub.register("sent", "Sent to backend servers, by what for", own.sent);
+            sub.register(
+                "sent_in_pause",
+                "Sent to backend servers within a pause that they had asked for",
+                own.sent_in_pause,
+            );
             sub.register(
                 "limited_servers",
                 "Backend servers with a limit to which this entry sent something lately",
@@ -150,12 +157,13 @@
 
     /// Something was sent to a backend server.
     pub fn sent(&self, kind: tally::Kind) {
-        let kind = match kind {
-            tally::Kind::Request => "request",
-            tally::Kind::Probe => "probe",
-            tally::Kind::Order => "order",
-        };
-        self.sent.get_or_create(&kind_label(kind)).inc();
+        self.sent.get_or_create(&kind_label(kind.name())).inc();
+    }
+
+    /// Something was sent to a backend server within a pause that it had asked for.
+    pub fn sent_in_pause(&self, kind: tally::Kind) {
+        let label = kind_label(kind.name());
+        self.sent_in_pause.get_or_create(&label).inc();
     }
 
     /// Another process answered a request for a grant.
--- a/src/edge/direct/dialect.rs
+++ b/src/edge/direct/dialect.rs
@@ -8,6 +8,7 @@
 use http::request;
 use http::response;
 
+use crate::direct::backoff;
 use crate::direct::quota;
 use crate::direct::register;
 
@@ -91,6 +92,10 @@
     pub keep_alive: Option<Duration>,
     /// Whether the connection closes after this response.
     pub closes: bool,
+    /// For how long the server wants nothing from this entry.
+    pub pause: backoff::Notice,
+    /// Whether the server says that it leaves.
+    pub leaving: bool,
 }
 
 /// A backend server's report on its load.
--- /dev/null
+++ b/src/edge/direct/outbound.rs
@@ -0,0 +1,165 @@
+//! The only way from this entry to a backend server: whatever is sent goes through here, and what
+//! the head of a response says about its server is observed here.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::response;
+use http_body_util::Full;
+use hyper::body;
+
+use super::Direct;
+use super::dialect;
+use super::pool;
+use crate::direct::backoff;
+use crate::direct::load;
+use crate::direct::quota;
+use crate::direct::register;
+use crate::direct::tally;
+use crate::edge::event::Event;
+use crate::log_event;
+
+/// Shows that something may be sent. Only this module creates it, so nothing passes by its checks.
+pub(super) struct Pass(());
+
+/// Whom something is sent to.
+#[derive(Clone, Copy)]
+pub(super) struct Target<'a> {
+    life: &'a register::Instance,
+    addr: SocketAddr,
+}
+
+impl<'a> Target<'a> {
+    /// The instance `life` at `addr`.
+    pub(super) fn new(life: &'a register::Instance, addr: SocketAddr) -> Self {
+        Self { life, addr }
+    }
+}
+
+/// A response whose body is still to be read.
+pub(super) struct Received {
+    /// Status and headers.
+    pub(super) head: response::Parts,
+    /// The body.
+    pub(super) body: body::Incoming,
+    /// What the head says.
+    pub(super) answer: dialect::Response,
+}
+
+impl Direct {
+    /// Sends a request to a server on a connection to it, and waits for the head of its response.
+    pub(super) async fn send_to_server(
+        &self,
+        conn: &mut pool::Conn,
+        target: Target<'_>,
+        kind: tally::Kind,
+        request: http::Request<Full<Bytes>>,
+    ) -> Result<Received, pool::Failure> {
+        let sent_at = self.record_sent(target.life, kind);
+        let response = conn.send(request, Pass(())).await?;
+        let (head, body) = response.into_parts();
+        let answer = self.dialect.response(&head);
+        // What another instance says is not said of the expected one.
+        if !answer.displaced && !self.is_taken_over(target.life, target.addr) {
+            self.observe(target.life, sent_at, kind, &head, &answer);
+        }
+        Ok(Received { head, body, answer })
+    }
+
+    /// Whether another instance than `life` is known at its address.
+    pub(super) fn is_taken_over(&self, life: &register::Instance, addr: SocketAddr) -> bool {
+        let state = self.state();
+        let holder = state.register.at(addr);
+        holder.is_some_and(|holder| holder.life != *life)
+    }
+
+    /// Observes what a response to something sent at `sent_at` says about its server.
+    fn observe(
+        &self,
+        life: &register::Instance,
+        sent_at: Duration,
+        kind: tally::Kind,
+        head: &response::Parts,
+        answer: &dialect::Response,
+    ) {
+        let source = if kind == tally::Kind::Request && answer.sealed {
+            quota::Source::Run
+        } else {
+            quota::Source::Other
+        };
+        self.observe_limit(life, sent_at, &head.headers, source);
+        self.observe_pause(life, sent_at, kind, answer.pause);
+        if answer.leaving {
+            self.observe_leaving(life, kind);
+        }
+    }
+
+    fn observe_pause(
+        &self,
+        life: &register::Instance,
+        sent_at: Duration,
+        kind: tally::Kind,
+        notice: backoff::Notice,
+    ) {
+        if notice == backoff::Notice::Absent {
+            return;
+        }
+        let now = self.node.now();
+        let server = load::server_key(life);
+        let (change, pause) = {
+            let mut state = self.state();
+            let change = state.backoffs.observe(now, server, notice);
+            (change, state.backoffs.pause(now, server))
+        };
+        let change = match (notice, change) {
+            (backoff::Notice::Invalid, _) => "unreadable",
+            (_, Some(backoff::Change::Begun)) => "begins",
+            (_, Some(backoff::Change::Extended)) => "extends",
+            (_, None) => return,
+        };
+        let named = match notice {
+            backoff::Notice::Pause(time) => time,
+            backoff::Notice::Absent | backoff::Notice::Invalid => Duration::ZERO,
+        };
+        let pause = pause.unwrap_or_default();
+        if self.log_limiter.allow(Event::ServerPause, now) {
+            log_event!(self.node.log(), Event::ServerPause, "server" => life, "change" => change,
+                "named_ms" => named.as_millis() as u64, "source" => kind.name(),
+                "age_ms" => now.saturating_sub(sent_at).as_millis() as u64,
+                "left_ms" => pause.until.saturating_sub(now).as_millis() as u64,
+                "requests" => pause.sent.requests, "probes" => pause.sent.probes,
+                "orders" => pause.sent.orders);
+        }
+    }
+
+    fn observe_leaving(&self, life: &register::Instance, kind: tally::Kind) {
+        let now = self.node.now();
+        if self.log_limiter.allow(Event::ServerLeaving, now) {
+            log_event!(self.node.log(), Event::ServerLeaving, "server" => life,
+                "source" => kind.name());
+        }
+    }
+
+    /// Logs the pauses that have ended. To be called each second.
+    pub(super) fn log_ended_pauses(&self) {
+        let now = self.node.now();
+        let ended = {
+            let mut state = self.state();
+            let ended = state.backoffs.take_ended(now);
+            let named = ended.into_iter().map(|(server, pause)| {
+                let life = state.register.instance(server);
+                (life.map(ToString::to_string).unwrap_or_default(), pause)
+            });
+            named.collect::<Vec<(String, backoff::Pause)>>()
+        };
+        for (server, pause) in ended {
+            if self.log_limiter.allow(Event::ServerPause, now) {
+                log_event!(self.node.log(), Event::ServerPause, "server" => server, "change" => "ends",
+                    "named_ms" => pause.until.saturating_sub(pause.began).as_millis() as u64,
+                    "requests" => pause.sent.requests, "probes" => pause.sent.probes,
+                    "orders" => pause.sent.orders);
+            }
+        }
+    }
+}
--- a/src/edge/direct/pool.rs
+++ b/src/edge/direct/pool.rs
@@ -16,6 +16,7 @@
 use tokio::task;
 use tokio::time;
 
+use super::outbound;
 use crate::direct::register;
 
 /// Timeout for connecting: some round trips between zones. A lost SYN packet is sent again only
@@ -91,10 +92,11 @@
         })
     }
 
-    /// Sends a request and waits for the head of its response.
-    pub async fn send(
+    /// Sends a request and waits for the head of its response. `_pass`: shows that it may be sent.
+    pub(super) async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
+        _pass: outbound::Pass,
     ) -> Result<http::Response<body::Incoming>, Failure> {
         if let Err(err) = self.sender.ready().await {
             return Err(Failure::Unsent(err.to_string()));
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -12,9 +12,9 @@
 
 use super::Direct;
 use super::dialect;
+use super::outbound;
 use super::pool;
 use super::suspicion;
-use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
 
@@ -162,9 +162,7 @@
 
     /// Whether another server is known at the address of `server`.
     fn is_replaced(&self, server: &register::Record) -> bool {
-        let state = self.state();
-        let holder = state.register.at(server.addr);
-        holder.is_some_and(|holder| holder.life != server.life)
+        self.is_taken_over(&server.life, server.addr)
     }
 
     /// Returns when the server does not respond to a probe. `quiet`: time before the first probe,
@@ -206,17 +204,18 @@
                 .header(http::header::HOST, server.addr.to_string())
                 .body(Full::new(Bytes::new()))
                 .ok()?;
-            let sent_at = self.record_sent(&server.life, tally::Kind::Probe);
-            let response = conn.send(request).await.ok()?;
-            let (head, body) = response.into_parts();
-            let body = Limited::new(body, 64 << 10);
+            let target = outbound::Target::new(&server.life, server.addr);
+            let received = self
+                .send_to_server(&mut conn, target, tally::Kind::Probe, request)
+                .await
+                .ok()?;
+            let body = Limited::new(received.body, 64 << 10);
             let body = body.collect().await.ok()?.to_bytes();
-            let report = self.dialect.report(&body).unwrap_or_default();
-            Some((report, sent_at, head.headers))
+            Some(self.dialect.report(&body).unwrap_or_default())
         };
         let began = Instant::now();
         let probed = time::timeout(PROBE_TIMEOUT, probing).await;
-        let Some((report, sent_at, headers)) = probed.ok().flatten() else {
+        let Some(report) = probed.ok().flatten() else {
             let is_late = began.elapsed() > PROBE_TIMEOUT + OWN_LATENESS;
             return Err(if is_late {
                 Missing::Unknown
@@ -228,7 +227,6 @@
         if !server.life.may_match(report.started_ms) || self.is_replaced(server) {
             return Err(Missing::Silent);
         }
-        self.observe_limit(&server.life, sent_at, &headers, quota::Source::Other);
         if report.pace > 0.0 {
             self.state().healths.set_pace(&server.life, report.pace);
         }
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -18,8 +18,8 @@
 use tokio::time;
 
 use super::Direct;
+use super::outbound;
 use super::pool;
-use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
 use crate::direct::ticket;
@@ -286,16 +286,16 @@
                 .header(header::CONTENT_TYPE, "application/json")
                 .body(Full::new(Bytes::from(body)))
                 .ok()?;
-            let sent = self.record_sent(&held.server, tally::Kind::Order);
             self.charge(&held.server);
             unanswered = Answer::Missing;
-            let response = conn.send(request).await.ok()?;
-            let status = response.status();
-            let headers = response.headers();
-            self.observe_limit(&held.server, sent, headers, quota::Source::Other);
+            let target = outbound::Target::new(&held.server, held.addr);
+            let received = self
+                .send_to_server(&mut conn, target, tally::Kind::Order, request)
+                .await
+                .ok()?;
             // Reads the whole response: closing a connection with unread data would reset it.
-            let _ = response.into_body().collect().await;
-            Some(status)
+            let _ = received.body.collect().await;
+            Some(received.head.status)
         };
         let status = time::timeout(ORDER_TIMEOUT, response).await;
         status.ok().flatten().ok_or(unanswered)
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -97,6 +97,8 @@
     MemoryReleased = 251, Info, "memory set aside at a backend server released";
     MemoryStuck = 252, Warning, "memory set aside at a backend server could not be released yet";
     MemoryOrderUnanswered = 253, Warning, "order to set memory aside got no answer";
+    ServerPause = 260, Info, "backend server asked this entry to send it nothing for a time";
+    ServerLeaving = 261, Info, "backend server says in an answer that it leaves";
 }
 
 impl slog::Value for register::Instance {
