--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -76,6 +76,36 @@
     Doubles,
 }
 
+/// What something that arrives is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// A caller's request.
+    Request,
+    /// A question for its report.
+    Report,
+    /// An order on memory.
+    Order,
+}
+
+/// Rejections that ask for a pause.
+#[derive(Clone, Debug)]
+pub struct Shed {
+    /// Values of `Retry-After`, each in a line of its own.
+    pub retry_after: Vec<String>,
+    /// What is rejected. Everything else is served.
+    pub kinds: Vec<Kind>,
+}
+
+impl Shed {
+    /// Rejects these kinds and asks for a pause of so many seconds.
+    pub fn new(seconds: f64, kinds: &[Kind]) -> Self {
+        Self {
+            retry_after: vec![seconds.to_string()],
+            kinds: kinds.to_vec(),
+        }
+    }
+}
+
 /// What ends the body of an answer to a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Framing {
@@ -142,6 +172,14 @@
     reserve_delay: Option<Duration>,
     /// Whether it rejects release orders as too busy.
     rejects_releases: bool,
+    /// Time from the arrival of an order to its answer.
+    order_time: Duration,
+    /// What it rejects to get a pause.
+    shed: Option<Shed>,
+    /// When it rejected something so.
+    shed_at: Vec<Instant>,
+    /// Whether all its answers say that it leaves.
+    leaves: bool,
     /// Requests a second that it takes from all, if it names a limit.
     limit: Option<f64>,
     framing: Framing,
@@ -150,7 +188,7 @@
     life: watch::Sender<Life>,
     crashes: Vec<Instant>,
     /// When anything arrived: requests, questions and orders alike.
-    arrivals: Vec<Instant>,
+    arrivals: Vec<(Instant, Kind)>,
     received: Vec<(Instant, Request)>,
     ran: Vec<Request>,
     tickets: BTreeMap<String, Ticket>,
@@ -279,6 +317,26 @@
         self.state.lock().expect("state lock").rejects_releases = rejects;
     }
 
+    /// From now on it answers orders so long after their arrival.
+    pub fn delay_orders(&self, time: Duration) {
+        self.state.lock().expect("state lock").order_time = time;
+    }
+
+    /// From now on it rejects some kinds and asks for a pause, or does so no more.
+    pub fn shed(&self, shed: Option<Shed>) {
+        self.state.lock().expect("state lock").shed = shed;
+    }
+
+    /// When it asked for a pause.
+    pub fn shed_at(&self) -> Vec<Instant> {
+        self.state.lock().expect("state lock").shed_at.clone()
+    }
+
+    /// Whether all its answers say from now on that it leaves.
+    pub fn leave(&self, leaves: bool) {
+        self.state.lock().expect("state lock").leaves = leaves;
+    }
+
     /// Names a limit in all answers from now on, or none.
     pub fn limit(&self, per_second: Option<f64>) {
         self.state.lock().expect("state lock").limit = per_second;
@@ -286,6 +344,11 @@
 
     /// When anything arrived.
     pub fn arrivals(&self) -> Vec<Instant> {
+        self.arrived().into_iter().map(|(at, _)| at).collect()
+    }
+
+    /// When anything arrived, and what for.
+    pub fn arrived(&self) -> Vec<(Instant, Kind)> {
         self.state.lock().expect("state lock").arrivals.clone()
     }
 
@@ -452,12 +515,30 @@
     })
 }
 
-/// Counts an arrival. Returns the header line of the limit that it names, if it names one.
-fn record_arrival(state: &Mutex<State>) -> String {
+/// Counts an arrival. Returns the header lines that all its answers bear now.
+fn record_arrival(state: &Mutex<State>, kind: Kind) -> String {
     let mut state = state.lock().expect("state lock");
-    state.arrivals.push(Instant::now());
+    state.arrivals.push((Instant::now(), kind));
     let named = state.limit.map(|one| format!("Server-Limit: {one}\r\n"));
-    named.unwrap_or_default()
+    let mut lines = named.unwrap_or_default();
+    if state.leaves {
+        lines += "Server-Leaving: 1\r\n";
+    }
+    lines
+}
+
+/// The header lines of a rejection that asks for a pause, if this kind is rejected now.
+fn shed(state: &Mutex<State>, kind: Kind) -> Option<String> {
+    let mut state = state.lock().expect("state lock");
+    let shed = state.shed.clone();
+    let shed = shed.filter(|shed| shed.kinds.contains(&kind))?;
+    state.shed_at.push(Instant::now());
+    let lines = shed.retry_after.iter();
+    Some(
+        lines
+            .map(|value| format!("Retry-After: {value}\r\n"))
+            .collect(),
+    )
 }
 
 async fn serve(
@@ -475,8 +556,18 @@
         state.lock().expect("state lock").received.push(received);
     }
     awake(state).await;
-    let limit = record_arrival(state);
-    if request.is("GET /v1/report") {
+    let is_report = request.is("GET /v1/report");
+    let kind = if is_report {
+        Kind::Report
+    } else {
+        Kind::Request
+    };
+    let limit = record_arrival(state, kind);
+    if is_report {
+        if let Some(lines) = shed(state, kind) {
+            let head = limit + &lines;
+            return answer(tx, "503 Service Unavailable", &head, b"").await;
+        }
         let body = b"{\"queued\":0,\"active\":0,\"pace\":1.0}";
         return answer(tx, "200 OK", &limit, body).await;
     }
@@ -487,6 +578,10 @@
     if request.header("x-expect-instance") != id {
         return answer(tx, "421 Misdirected Request", &echo, b"").await;
     }
+    if let Some(lines) = shed(state, kind) {
+        let head = format!("{echo}X-Not-Executed: 1\r\n{lines}");
+        return answer(tx, "503 Service Unavailable", &head, b"").await;
+    }
     let (mood, framing, fatal) = {
         let state = state.lock().expect("state lock");
         (state.mood, state.framing, state.fatal.clone())
@@ -630,12 +725,17 @@
 ) -> std::io::Result<bool> {
     let order: serde_json::Value = serde_json::from_slice(&request.body).unwrap_or_default();
     let reserves = order["operation"] == "reserve";
-    let (delay, rejects) = {
+    let (delay, rejects, order_time) = {
         let state = state.lock().expect("state lock");
-        (state.reserve_delay, state.rejects_releases && !reserves)
+        let rejects = state.rejects_releases && !reserves;
+        (state.reserve_delay, rejects, state.order_time)
     };
+    if let Some(lines) = shed(state, Kind::Order) {
+        let head = record_arrival(state, Kind::Order) + &lines;
+        return answer(tx, "503 Service Unavailable", &head, b"").await;
+    }
     if rejects {
-        let head = record_arrival(state);
+        let head = record_arrival(state, Kind::Order);
         return answer(tx, "503 Service Unavailable", &head, b"").await;
     }
     let delay = delay.filter(|_| reserves);
@@ -649,7 +749,8 @@
         return std::future::pending().await;
     }
     carried_out.await.map_err(std::io::Error::other)?;
-    let head = record_arrival(state);
+    let head = record_arrival(state, Kind::Order);
+    time::sleep(order_time).await;
     answer(tx, "200 OK", &head, b"{\"free_slots\":1}").await
 }
 
