A backend server gets nothing in a pause that it asked for

Callers' requests went to a server that rejected each of them and had asked for none for 3 s (7 to 9 within the time), took a retry of the service's budget each, and were rejected after one attempt once it was spent.

Cause: the time was not read, a rejection left no trace at its server, and no place saw all that is sent to a server. Class: a server's word on what it takes, kept by each sender or by none.

outbound::check now stands directly before each send, behind the connection, and gives the pass that a connection needs: requests chosen, granted or resumed before the 503, segments, probes, reserve orders and fallbacks meet it. Servers in a pause are no candidates, whatever the state of the others. If all of them pause, a request waits if the first takes it again in time, and is rejected at once with that time otherwise, one caller after the other.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -24,6 +24,12 @@
 /// A request found no backend server that takes more: all of its service name limits.
 const LIMITED: u64 = 218;
 
+/// A pause that a backend server asked for began, was extended or ended.
+const PAUSE: u64 = 260;
+
+/// A request found no backend server that takes it in time: all of its service asked for a pause.
+const PAUSED: u64 = 262;
+
 /// The evacuated zones in force at a process changed.
 const ZONES: u64 = 236;
 
@@ -63,11 +69,12 @@
     }
     course.sort_by_key(|one| ts(one));
     let limits = limits(&lines, &course);
+    let pauses = pauses(&lines, &course);
     let zones = zones(&lines, &course);
     for line in course {
         println!("{}", tell(line));
     }
-    for line in limits.into_iter().chain(zones) {
+    for line in limits.into_iter().chain(pauses).chain(zones) {
         println!("{}", tell(line));
     }
     Ok(())
@@ -101,6 +108,28 @@
     named.collect()
 }
 
+/// The pauses in progress at the end of a request, as last told by the processes of its course: those of
+/// the servers that it was sent to, or all if it was refused for pauses.
+fn pauses<'a>(lines: &'a [Value], course: &[&Value]) -> Vec<&'a Value> {
+    let end = course.last().map_or("", |one| ts(one));
+    let is_paused = course.iter().any(|one| one["event"] == PAUSED);
+    let is_on_course = |key: &str, line: &Value| course.iter().any(|one| one[key] == line[key]);
+    let mut last: BTreeMap<(&str, &str), &Value> = BTreeMap::new();
+    for line in lines.iter().filter(|one| one["event"] == PAUSE) {
+        let concerns = is_on_course("node", line) && (is_paused || is_on_course("server", line));
+        if ts(line) > end || !concerns {
+            continue;
+        }
+        let text = |key: &str| line[key].as_str().unwrap_or_default();
+        let known = last.entry((text("node"), text("server"))).or_insert(line);
+        if ts(line) >= ts(known) {
+            *known = line;
+        }
+    }
+    let in_progress = last.into_values().filter(|one| one["change"] != "ends");
+    in_progress.collect()
+}
+
 /// The evacuated zones whose servers were left out, as last told by each process of the course up to
 /// its end.
 fn zones<'a>(lines: &'a [Value], course: &[&Value]) -> Vec<&'a Value> {
--- a/src/direct/deadline.rs
+++ b/src/direct/deadline.rs
@@ -123,6 +123,16 @@
         self.until_deadline > complete && self.until_abandoned > first
     }
 
+    /// Whether a request without a time model would be answered in time if it were sent after `wait`.
+    pub fn allows_plain(&self, wait: Duration, is_stream: bool) -> bool {
+        let patience = if is_stream {
+            self.until_abandoned
+        } else {
+            self.until_deadline
+        };
+        patience > wait.saturating_add(self.objective)
+    }
+
     /// Whether a short prompt may wait on the entry for a server that is not full. In the queue of
     /// a full server it would make all later requests late as well.
     pub fn may_wait_at_entry(&self, engine: &model::Engine, need: &place::Need) -> bool {
--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -12,9 +12,11 @@
     Away,
     /// The rate limits of its servers are used up: when to retry.
     Limited(Duration),
+    /// All its servers asked for a pause: when to retry.
+    Paused(Duration),
     /// Not sent: no connection could be opened.
     Unsent,
-    /// Not sent: a zone was evacuated after a server in it was chosen.
+    /// Not sent: a server that was chosen for it takes no requests any more, or asked for a pause.
     Withdrawn,
     /// Not sent: all servers are in evacuated zones or outside the request's home regions.
     Excluded,
@@ -48,6 +50,7 @@
             self,
             Self::Away
                 | Self::Limited(_)
+                | Self::Paused(_)
                 | Self::Unsent
                 | Self::Withdrawn
                 | Self::Excluded
@@ -144,6 +147,7 @@
         failure,
         Failure::Away
             | Failure::Limited(_)
+            | Failure::Paused(_)
             | Failure::Excluded
             | Failure::Suspect
             | Failure::Late
@@ -191,7 +195,7 @@
 
 /// The answer to the caller after the last attempt.
 pub fn reply(failure: &Failure, history: History, left: Duration) -> Reply {
-    if let Failure::Limited(retry_after) = failure
+    if let Failure::Limited(retry_after) | Failure::Paused(retry_after) = failure
         && history.ran == 0
     {
         return Reply::Busy(*retry_after);
--- a/src/direct/tally.rs
+++ b/src/direct/tally.rs
@@ -44,6 +44,11 @@
 }
 
 impl Counts {
+    /// All of them together.
+    pub fn total(&self) -> u32 {
+        self.requests + self.probes + self.orders
+    }
+
     /// Counts one more.
     pub fn add(&mut self, kind: Kind) {
         match kind {
--- a/src/direct/ticket.rs
+++ b/src/direct/ticket.rs
@@ -32,14 +32,19 @@
 /// Time from a probe without an answer to the next.
 const PROBE_PAUSE: Duration = Duration::from_millis(350);
 
+/// Time before the end of a reservation at which it is renewed at the latest: time for one order.
+const LAST_RENEWAL: Duration = Duration::from_millis(400);
+
 /// Least gain of a renewal, as a part of the time of a reservation.
 const MIN_GAIN_PART: u32 = 8;
 
 /// An order to a server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Order {
-    /// Reserve the memory, or renew its reservation, for this time.
+    /// Reserve the memory for this time.
     Reserve(Duration),
+    /// Renew its reservation for this time.
+    Renew(Duration),
     /// Release the memory.
     Release,
 }
@@ -90,6 +95,8 @@
     pub alive_at: Duration,
     /// Whether orders count against a limit of the server: it is renewed half as often.
     pub is_limited: bool,
+    /// Until when the server wants nothing. A renewal waits as long as it can, a release until then.
+    pub paused_until: Option<Duration>,
 }
 
 /// A reservation at one server. All times are on one clock.
@@ -152,7 +159,7 @@
             }
             self.has_ended = true;
         }
-        self.next_release(view.now)
+        self.next_release(view)
     }
 
     /// Records that an order was sent.
@@ -167,8 +174,10 @@
             return;
         };
         match (order, answer) {
-            (Order::Reserve(time), Answer::Done) => self.expires_at = Some(sent_at + time),
-            (Order::Reserve(_), _) => {
+            (Order::Reserve(time) | Order::Renew(time), Answer::Done) => {
+                self.expires_at = Some(sent_at + time);
+            }
+            (Order::Reserve(_) | Order::Renew(_), _) => {
                 if answer == Answer::Missing {
                     self.late_until = Some(sent_at + MAX_LATENESS);
                 }
@@ -187,6 +196,7 @@
             now,
             alive_at,
             is_limited,
+            paused_until,
         } = view;
         let Some(expires_at) = self.expires_at else {
             return Some(Step::Send(Order::Reserve(self.hold)));
@@ -201,6 +211,8 @@
         let period = if is_limited { period * 2 } else { period };
         let due = (expires_at + period).saturating_sub(self.hold);
         let due = due.max(self.quiet_until);
+        let last = expires_at.saturating_sub(LAST_RENEWAL);
+        let due = due.max(paused_until.map_or(due, |until| until.min(last)));
         if now < due {
             return Some(Step::Wait(due.min(expires_at)));
         }
@@ -208,10 +220,11 @@
         if end < expires_at + self.hold / MIN_GAIN_PART {
             return Some(Step::Wait(expires_at));
         }
-        Some(Step::Send(Order::Reserve(end.saturating_sub(now))))
+        Some(Step::Send(Order::Renew(end.saturating_sub(now))))
     }
 
-    fn next_release(&self, now: Duration) -> Step {
+    fn next_release(&self, view: View) -> Step {
+        let now = view.now;
         let late_until = self
             .late_until
             .filter(|late| self.released_at.is_none_or(|released| released < *late));
@@ -223,9 +236,13 @@
         };
         // From then on nothing is held, whatever became of the releases.
         let none_held_at = late_until.map(|late| late + self.hold).max(self.expires_at);
-        if self.has_sent_release && none_held_at.is_none_or(|at| now >= at) {
+        let is_none_held = none_held_at.is_none_or(|at| now >= at);
+        if is_none_held && (self.has_sent_release || view.paused_until.is_some()) {
             return Step::Done(End::Expired);
         }
+        if let Some(until) = view.paused_until {
+            return Step::Wait(none_held_at.map_or(until, |at| at.min(until)));
+        }
         // The first release does not wait after a renewal that failed.
         if self.has_sent_release && now < due.max(self.quiet_until) {
             return Step::Wait(due.max(self.quiet_until));
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -18,12 +18,10 @@
         self.counts.sent(kind);
         let mut state = self.state();
         state.tally.record(now, instance, kind);
-        if !state.backoffs.is_empty() {
-            let server = load::server_key(instance);
-            if state.backoffs.pause(now, server).is_some() {
-                self.counts.sent_in_pause(kind);
-            }
-            state.backoffs.record(now, server, kind);
+        if !state.backoffs.is_empty()
+            && state.backoffs.record(now, load::server_key(instance), kind)
+        {
+            self.counts.sent_in_pause(kind);
         }
         now
     }
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -28,7 +28,6 @@
 use crate::direct::register;
 use crate::direct::retry;
 use crate::direct::suspect;
-use crate::direct::tally;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -224,13 +223,18 @@
         progress.reach_at(progress::Stage::Reserving, &server.life);
         let memory = self.reserve(context, &assignment).await?;
         progress.reach(progress::Stage::Connecting);
+        let target = outbound::Target::new(&server.life, server.addr);
+        let parcel = outbound::Parcel::Request {
+            id: &context.request.id,
+            helpers: &assignment.helpers,
+        };
+        if self.check(target, parcel).is_err() {
+            return Err(retry::Failure::Withdrawn);
+        }
         let may_reuse = context.route.repeatable() || REUSE_FOR_UNSAFE;
         let conn = self.pool.conn(&server.life, server.addr, may_reuse).await;
         let conn = conn.map_err(|_| retry::Failure::Unsent)?;
         let request = self.build_request(context, &assignment, memory.as_ref(), after);
-        if !self.may_send(&assignment) {
-            return Err(retry::Failure::Withdrawn);
-        }
         if !self.may_run(context) {
             return Err(retry::Failure::Suspect);
         }
@@ -286,14 +290,6 @@
         }
     }
 
-    /// Whether no zone of its servers was evacuated since they were chosen.
-    fn may_send(&self, assignment: &Assignment) -> bool {
-        let state = self.state();
-        let evacuated = state.register.evacuated();
-        let mut servers = std::iter::once(&assignment.server).chain(&assignment.helpers);
-        servers.all(|server| !evacuated.contains(&server.zone))
-    }
-
     /// Reserves the memory that the prompt needs at its helper servers.
     async fn reserve(
         self: &Arc<Self>,
@@ -372,13 +368,22 @@
         let (mut conn, memory) = resources;
         let server = &assignment.server;
         let target = outbound::Target::new(&server.life, server.addr);
+        let parcel = outbound::Parcel::Request {
+            id: &expected.id,
+            helpers: &assignment.helpers,
+        };
         let received = self
-            .send_to_server(&mut conn, target, tally::Kind::Request, request)
+            .send_to_server(&mut conn, target, parcel, request)
             .await;
         let outbound::Received { head, body, answer } = match received {
             Ok(received) => received,
-            Err(pool::Failure::Unsent(_)) => return Answered::not_run(retry::Failure::Unsent),
-            Err(pool::Failure::Sent(_)) => {
+            Err(outbound::Failure::Withheld) => {
+                return Answered::not_run(retry::Failure::Withdrawn);
+            }
+            Err(outbound::Failure::Conn(pool::Failure::Unsent(_))) => {
+                return Answered::not_run(retry::Failure::Unsent);
+            }
+            Err(outbound::Failure::Conn(pool::Failure::Sent(_))) => {
                 return Answered::ran(Err(retry::Failure::Broken.into()));
             }
         };
@@ -480,6 +485,7 @@
             retry::Failure::Broken
             | retry::Failure::Away
             | retry::Failure::Limited(_)
+            | retry::Failure::Paused(_)
             | retry::Failure::Withdrawn
             | retry::Failure::Excluded
             | retry::Failure::Suspect
@@ -538,6 +544,7 @@
     match cause {
         retry::Failure::Away => "away",
         retry::Failure::Limited(_) => "limited",
+        retry::Failure::Paused(_) => "paused",
         retry::Failure::Unsent => "unsent",
         retry::Failure::Withdrawn => "withdrawn",
         retry::Failure::Excluded => "excluded",
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -29,6 +29,11 @@
 const FULL_PAUSE: Duration = Duration::from_millis(40);
 const FULL_PAUSE_LATE: Duration = Duration::from_millis(150);
 
+/// Least and most time between two looks whether a server takes requests again after a pause. Others
+/// may become known meanwhile.
+const MIN_PAUSE_POLL: Duration = Duration::from_millis(2);
+const PAUSE_POLL: Duration = Duration::from_millis(100);
+
 /// Which servers may read a long prompt.
 #[derive(Clone, Copy)]
 enum Reading {
@@ -163,6 +168,11 @@
             is_long: place.takes_turn,
             reads: (now, now + deadline::millis(place.first_ms)),
         };
+        if !state.backoffs.is_empty() {
+            for at in std::iter::once(&place.writer).chain(&place.helpers) {
+                state.backoffs.place(servers[*at].key);
+            }
+        }
         let limit = state.quotas.limit(now, servers[place.writer].key);
         let ticket = state.loads.insert(now, claim);
         drop(state);
@@ -311,7 +321,13 @@
                 match self.choose(context, Reading::InTurn) {
                     Choice::Assigned(assignment) => return Ok(*assignment),
                     Choice::Exiting => return Err(retry::Failure::Ending),
-                    Choice::NoServer => return self.choose_only_limited(context).await,
+                    Choice::NoServer => match self.choose_only_limited(context).await {
+                        Err(retry::Failure::Unsent) => {
+                            self.await_pause(context).await?;
+                            continue;
+                        }
+                        chosen => return chosen,
+                    },
                     Choice::NeedsTurn => turn.wait(context),
                     Choice::NeedsCapacity => turn.leave(),
                     Choice::Full if !self.may_complete_here(context) => {
@@ -339,6 +355,36 @@
         }
     }
 
+    /// Waits until a server of the request may take it again after a pause, or something else may
+    /// have changed.
+    ///
+    /// # Errors
+    ///
+    /// If no server is in a pause, or none takes the request again in time.
+    async fn await_pause(&self, context: &Context) -> Result<(), retry::Failure> {
+        let now = self.node.now();
+        let paused = eligibility::paused(&self.state(), now, context);
+        let Some(eligibility::Paused { servers, opens_at }) = paused else {
+            return Err(retry::Failure::Unsent);
+        };
+        let wait = opens_at.saturating_sub(now);
+        if context.may_wait_for(wait) {
+            time::sleep(wait.clamp(MIN_PAUSE_POLL, PAUSE_POLL)).await;
+            return Ok(());
+        }
+        let retry_after = self
+            .state()
+            .backoffs
+            .schedule_return(now, &context.service, opens_at);
+        if self.log_limiter.allow(Event::RequestPaused, now) {
+            log_event!(self.node.log(), Event::RequestPaused, "request" => &context.request.id,
+                "servers" => servers, "opens_ms" => wait.as_millis() as u64,
+                "come_back_ms" => retry_after.as_millis() as u64,
+                "left_ms" => context.time_left().as_millis() as u64);
+        }
+        Err(retry::Failure::Paused(retry_after))
+    }
+
     /// Chooses a server if the only servers are those that name a limit, or none at all.
     async fn choose_only_limited(
         self: &Arc<Self>,
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -118,6 +118,19 @@
         engine.is_none_or(|engine| self.time_budget().allows(&engine, &need, first))
     }
 
+    /// Whether it could still be answered in time if it were sent after `wait`. Without sizes or a
+    /// time model it is expected to take no longer than the objective of its route.
+    pub fn may_wait_for(&self, wait: Duration) -> bool {
+        let first = wait + deadline::millis(self.min_first_ms());
+        let budget = self.time_budget();
+        let engine = self.engine.filter(|_| self.request.size.is_some());
+        let is_in_time = match engine {
+            Some(engine) => budget.allows(&engine, &self.need(), first),
+            None => budget.allows_plain(wait, self.route.kind == catalog::Kind::Stream),
+        };
+        is_in_time && self.completes_before_exit(first.as_secs_f64() * 1e3, Duration::ZERO)
+    }
+
     /// Least time to its first event in milliseconds, by the time model.
     pub fn min_first_ms(&self) -> f64 {
         let engine = self.engine.filter(|_| self.request.size.is_some());
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -57,6 +57,7 @@
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
     sent_in_pause: family::Family<For, counter::Counter>,
+    withheld: family::Family<For, counter::Counter>,
     limited: gauge::Gauge,
     grants: family::Family<For, counter::Counter>,
     evacuated: gauge::Gauge,
@@ -86,6 +87,7 @@
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
             sent_in_pause: family::Family::default(),
+            withheld: family::Family::default(),
             limited: gauge::Gauge::default(),
             grants: family::Family::default(),
             evacuated: gauge::Gauge::default(),
@@ -124,6 +126,11 @@
                 "Sent to backend servers within a pause that they had asked for",
                 own.sent_in_pause,
             );
+            sub.register(
+                "withheld",
+                "Not sent, since the server had asked for a pause or takes nothing new",
+                own.withheld,
+            );
             sub.register(
                 "limited_servers",
                 "Backend servers with a limit to which this entry sent something lately",
@@ -166,6 +173,11 @@
         self.sent_in_pause.get_or_create(&label).inc();
     }
 
+    /// Something was not sent to a backend server that must not get it now.
+    pub fn withheld(&self, kind: tally::Kind) {
+        self.withheld.get_or_create(&kind_label(kind.name())).inc();
+    }
+
     /// Another process answered a request for a grant.
     pub fn grant_answered(&self, granted: bool) {
         let outcome = if granted { "granted" } else { "denied" };
--- a/src/edge/direct/eligibility.rs
+++ b/src/edge/direct/eligibility.rs
@@ -20,7 +20,7 @@
 /// request's subset of the fleet. If there are none, takes those of the whole fleet. If there are
 /// none and no server with a limit is healthy either, takes any.
 pub(super) fn candidates(state: &super::State, now: Duration, context: &Context) -> Candidates {
-    let ready: Vec<register::Ready<'_>> = without_open(state, now, context).collect();
+    let ready: Vec<register::Ready<'_>> = available(state, now, context).collect();
     let subset = subset::Subset::draw(ready.len(), context.need().draw);
     if subset != subset::Subset::WHOLE {
         let in_subset: Vec<register::Ready<'_>> = ready
@@ -50,7 +50,18 @@
     ready.filter(|server| context.homes.allow(&server.record.zone))
 }
 
-/// [`at_home`], without those at which an attempt of the request is open.
+/// [`at_home`], without those at which an attempt of the request is open, and without those in a
+/// pause, whatever the state of the others.
+fn available<'a>(
+    state: &'a super::State,
+    now: Duration,
+    context: &'a Context,
+) -> impl Iterator<Item = register::Ready<'a>> {
+    let no_pauses = state.backoffs.is_empty();
+    without_open(state, now, context)
+        .filter(move |server| no_pauses || state.backoffs.opens_at(now, server.key) <= now)
+}
+
 fn without_open<'a>(
     state: &'a super::State,
     now: Duration,
@@ -60,6 +71,30 @@
     ready.filter(|server| !context.open_at.contains(&server.record.life))
 }
 
+/// Servers of a request that are in a pause.
+pub(super) struct Paused {
+    /// Number of them.
+    pub(super) servers: usize,
+    /// When the first of them takes the request.
+    pub(super) opens_at: Duration,
+}
+
+/// The servers of a request that are in a pause. `None`: there are none.
+pub(super) fn paused(state: &super::State, now: Duration, context: &Context) -> Option<Paused> {
+    if state.backoffs.is_empty() {
+        return None;
+    }
+    let opens = without_open(state, now, context)
+        .map(|server| state.backoffs.opens_at(now, server.key))
+        .filter(|opens_at| now < *opens_at);
+    opens.fold(None, |paused: Option<Paused>, opens_at| {
+        Some(Paused {
+            servers: paused.as_ref().map_or(0, |paused| paused.servers) + 1,
+            opens_at: paused.map_or(opens_at, |paused| paused.opens_at.min(opens_at)),
+        })
+    })
+}
+
 /// Whether servers accept requests, but none that the request may go to: their zones are evacuated,
 /// or are no homes of it.
 pub(super) fn is_excluded(state: &super::State, now: Duration, context: &Context) -> bool {
@@ -127,7 +162,7 @@
     context: &Context,
     other: bool,
 ) -> Vec<register::Record> {
-    let ready = without_open(state, now, context).map(|server| (server.record, server.age));
+    let ready = available(state, now, context).map(|server| (server.record, server.age));
     let all: Vec<(&register::Record, Duration)> = ready
         .filter(|(record, _)| state.is_limited(now, &record.life))
         .collect();
--- a/src/edge/direct/health_check.rs
+++ b/src/edge/direct/health_check.rs
@@ -52,9 +52,9 @@
         .iter()
         .filter(|service| service.engine.is_some());
     let servers = engines.flat_map(|service| state.register.ready_with_keys(now, &service.name));
-    // A server with a request limit is not probed: probes count against the limit.
-    let unlimited = servers.filter(|server| !state.is_limited(now, &server.record.life));
-    let assigned = unlimited.filter(|server| rendezvous::is_owner(server.key, me, &others));
+    let assigned = servers.filter(|server| rendezvous::is_owner(server.key, me, &others));
+    let assigned =
+        assigned.filter(|server| state.may_be_probed(now, &server.record.life, server.key));
     assigned.map(|server| server.record.clone()).collect()
 }
 
--- a/src/edge/direct/outbound.rs
+++ b/src/edge/direct/outbound.rs
@@ -17,6 +17,7 @@
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
+use crate::direct::ticket;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -37,6 +38,57 @@
     }
 }
 
+/// What is sent.
+#[derive(Clone, Copy)]
+pub(super) enum Parcel<'a> {
+    /// A caller's request.
+    Request {
+        /// Its id.
+        id: &'a str,
+        /// The servers that read segments of its prompt.
+        helpers: &'a [register::Record],
+    },
+    /// A query for the state of the server.
+    Probe,
+    /// An order on memory.
+    Order(ticket::Order),
+}
+
+impl Parcel<'_> {
+    fn purpose(&self) -> backoff::Purpose {
+        match self {
+            Self::Request { .. } => backoff::Purpose::Request,
+            Self::Probe => backoff::Purpose::Probe,
+            Self::Order(ticket::Order::Renew(_)) => backoff::Purpose::Renewal,
+            Self::Order(ticket::Order::Reserve(_) | ticket::Order::Release) => {
+                backoff::Purpose::Order
+            }
+        }
+    }
+
+    fn request(&self) -> &str {
+        match self {
+            Self::Request { id, .. } => id,
+            Self::Probe | Self::Order(_) => "",
+        }
+    }
+}
+
+/// Why there is no response.
+#[derive(Debug)]
+pub(super) enum Failure {
+    /// Not sent: a server that it concerns must not get it now.
+    Withheld,
+    /// The connection failed.
+    Conn(pool::Failure),
+}
+
+impl From<pool::Failure> for Failure {
+    fn from(failure: pool::Failure) -> Self {
+        Self::Conn(failure)
+    }
+}
+
 /// A response whose body is still to be read.
 pub(super) struct Received {
     /// Status and headers.
@@ -47,17 +99,60 @@
     pub(super) answer: dialect::Response,
 }
 
+/// The server because of which something must not be sent now, and why.
+fn withholds<'a>(
+    state: &super::State,
+    now: Duration,
+    target: Target<'a>,
+    parcel: Parcel<'a>,
+) -> Option<(&'a register::Instance, &'static str)> {
+    let is_paused = |life: &register::Instance| {
+        let server = load::server_key(life);
+        !state.backoffs.allows(now, server, parcel.purpose())
+    };
+    let no_pauses = state.backoffs.is_empty();
+    let Parcel::Request { helpers, .. } = parcel else {
+        return (!no_pauses && is_paused(target.life)).then_some((target.life, "pause"));
+    };
+    let helpers = helpers.iter().map(|helper| &helper.life);
+    let mut servers = std::iter::once(target.life).chain(helpers);
+    servers.find_map(|life| {
+        if !state.register.is_ready(life) {
+            return Some((life, "not ready"));
+        }
+        (!no_pauses && is_paused(life)).then_some((life, "pause"))
+    })
+}
+
+impl super::State {
+    /// Whether a server may be probed. `server`: its key.
+    pub(super) fn may_be_probed(
+        &self,
+        now: Duration,
+        life: &register::Instance,
+        server: u64,
+    ) -> bool {
+        !self.is_limited(now, life) && self.backoffs.allows(now, server, backoff::Purpose::Probe)
+    }
+}
+
 impl Direct {
     /// Sends a request to a server on a connection to it, and waits for the head of its response.
     pub(super) async fn send_to_server(
         &self,
         conn: &mut pool::Conn,
         target: Target<'_>,
-        kind: tally::Kind,
+        parcel: Parcel<'_>,
         request: http::Request<Full<Bytes>>,
-    ) -> Result<Received, pool::Failure> {
+    ) -> Result<Received, Failure> {
+        conn.ready().await?;
+        let pass = self.check(target, parcel)?;
+        let kind = parcel.purpose().kind();
         let sent_at = self.record_sent(target.life, kind);
-        let response = conn.send(request, Pass(())).await?;
+        if kind == tally::Kind::Order {
+            self.charge(target.life);
+        }
+        let response = conn.send(request, pass).await?;
         let (head, body) = response.into_parts();
         let answer = self.dialect.response(&head);
         // What another instance says is not said of the expected one.
@@ -67,6 +162,34 @@
         Ok(Received { head, body, answer })
     }
 
+    /// Whether something may be sent now. Asked directly before it is, since the server may have asked
+    /// for a pause after it was chosen. Also asked before a connection is opened, which would be of no
+    /// use.
+    pub(super) fn check(&self, target: Target<'_>, parcel: Parcel<'_>) -> Result<Pass, Failure> {
+        let now = self.node.now();
+        let mut state = self.state();
+        let Some((at, why)) = withholds(&state, now, target, parcel) else {
+            return Ok(Pass(()));
+        };
+        let kind = parcel.purpose().kind();
+        state.backoffs.record_held(now, load::server_key(at), kind);
+        drop(state);
+        self.counts.withheld(kind);
+        if self.log_limiter.allow(Event::SendWithheld, now) {
+            log_event!(self.node.log(), Event::SendWithheld, "request" => parcel.request(),
+                "server" => at, "kind" => kind.name(), "why" => why);
+        }
+        Err(Failure::Withheld)
+    }
+
+    /// Whether a server may be probed: it has neither a limit, against which probes count, nor asked
+    /// for a pause.
+    pub(super) fn may_probe(&self, life: &register::Instance) -> bool {
+        let now = self.node.now();
+        let state = self.state();
+        state.may_be_probed(now, life, load::server_key(life))
+    }
+
     /// Whether another instance than `life` is known at its address.
     pub(super) fn is_taken_over(&self, life: &register::Instance, addr: SocketAddr) -> bool {
         let state = self.state();
@@ -109,7 +232,7 @@
         let server = load::server_key(life);
         let (change, pause) = {
             let mut state = self.state();
-            let change = state.backoffs.observe(now, server, notice);
+            let change = state.backoffs.observe(now, server, notice, rand::random());
             (change, state.backoffs.pause(now, server))
         };
         let change = match (notice, change) {
@@ -129,7 +252,7 @@
                 "age_ms" => now.saturating_sub(sent_at).as_millis() as u64,
                 "left_ms" => pause.until.saturating_sub(now).as_millis() as u64,
                 "requests" => pause.sent.requests, "probes" => pause.sent.probes,
-                "orders" => pause.sent.orders);
+                "orders" => pause.sent.orders, "held" => pause.held.total());
         }
     }
 
@@ -158,7 +281,7 @@
                 log_event!(self.node.log(), Event::ServerPause, "server" => server, "change" => "ends",
                     "named_ms" => pause.until.saturating_sub(pause.began).as_millis() as u64,
                     "requests" => pause.sent.requests, "probes" => pause.sent.probes,
-                    "orders" => pause.sent.orders);
+                    "orders" => pause.sent.orders, "held" => pause.held.total());
             }
         }
     }
--- a/src/edge/direct/pool.rs
+++ b/src/edge/direct/pool.rs
@@ -92,15 +92,18 @@
         })
     }
 
+    /// Waits until a request can be sent.
+    pub(super) async fn ready(&mut self) -> Result<(), Failure> {
+        let ready = self.sender.ready().await;
+        ready.map_err(|err| Failure::Unsent(err.to_string()))
+    }
+
     /// Sends a request and waits for the head of its response. `_pass`: shows that it may be sent.
     pub(super) async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
         _pass: outbound::Pass,
     ) -> Result<http::Response<body::Incoming>, Failure> {
-        if let Err(err) = self.sender.ready().await {
-            return Err(Failure::Unsent(err.to_string()));
-        }
         self.used = true;
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -16,7 +16,6 @@
 use super::pool;
 use super::suspicion;
 use crate::direct::register;
-use crate::direct::tally;
 
 /// Timeout for the response to a probe: some round trips between zones.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
@@ -41,7 +40,7 @@
 pub(super) enum Missing {
     /// The server does not respond, or another instance does.
     Silent,
-    /// This process ran too late to tell.
+    /// This process ran too late to tell, or must not probe the server now.
     Unknown,
 }
 
@@ -96,11 +95,10 @@
         server: register::Record,
     ) {
         let open = self.open_runs(&server.life);
-        let now = self.node.now();
-        let is_limited = self.state().is_limited(now, &server.life);
+        let may_probe = self.may_probe(&server.life);
         let direct = Arc::clone(self);
         tokio::spawn(async move {
-            if !is_limited && direct.is_silent(&server).await {
+            if may_probe && direct.is_silent(&server).await {
                 direct.pause_server(&server.life, "connection broken, and no answer since");
                 let evidence = "connection broken, no answer to a probe";
                 return direct.server_crashed(&run, &server.life, open, evidence);
@@ -121,7 +119,7 @@
     /// Watches a server that a request has left because it is silent. If it stays silent, it has died
     /// and all requests that left it are suspects. Several watches of one server are one.
     pub(super) fn watch_silence(self: &Arc<Self>, run: suspicion::Run, server: &register::Record) {
-        if self.state().is_limited(self.node.now(), &server.life) {
+        if !self.may_probe(&server.life) {
             return;
         }
         let is_watched = {
@@ -174,10 +172,8 @@
         last: &mut Outcome,
     ) {
         time::sleep(quiet).await;
-        // A server with a request limit is not probed: probes count against the limit.
         loop {
-            let limited = self.state().is_limited(self.node.now(), &server.life);
-            if !limited {
+            if self.may_probe(&server.life) {
                 if self.is_silent(server).await {
                     *last = Outcome::Unanswered;
                     return;
@@ -198,17 +194,23 @@
         &self,
         server: &register::Record,
     ) -> Result<dialect::Report, Missing> {
+        let target = outbound::Target::new(&server.life, server.addr);
+        if self.check(target, outbound::Parcel::Probe).is_err() {
+            return Err(Missing::Unknown);
+        }
+        let mut is_withheld = false;
         let probing = async {
             let mut conn = pool::Conn::open(server.addr).await.ok()?;
             let request = http::Request::get(self.dialect.report_path())
                 .header(http::header::HOST, server.addr.to_string())
                 .body(Full::new(Bytes::new()))
                 .ok()?;
-            let target = outbound::Target::new(&server.life, server.addr);
+            let parcel = outbound::Parcel::Probe;
             let received = self
-                .send_to_server(&mut conn, target, tally::Kind::Probe, request)
-                .await
-                .ok()?;
+                .send_to_server(&mut conn, target, parcel, request)
+                .await;
+            is_withheld = matches!(received, Err(outbound::Failure::Withheld));
+            let received = received.ok()?;
             let body = Limited::new(received.body, 64 << 10);
             let body = body.collect().await.ok()?.to_bytes();
             Some(self.dialect.report(&body).unwrap_or_default())
@@ -217,7 +219,7 @@
         let probed = time::timeout(PROBE_TIMEOUT, probing).await;
         let Some(report) = probed.ok().flatten() else {
             let is_late = began.elapsed() > PROBE_TIMEOUT + OWN_LATENESS;
-            return Err(if is_late {
+            return Err(if is_late || is_withheld {
                 Missing::Unknown
             } else {
                 Missing::Silent
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -20,8 +20,8 @@
 use super::Direct;
 use super::outbound;
 use super::pool;
+use crate::direct::load;
 use crate::direct::register;
-use crate::direct::tally;
 use crate::direct::ticket;
 use crate::direct::ticket::Answer;
 use crate::direct::ticket::Order;
@@ -136,9 +136,8 @@
         while let Some(due) = writer.next_probe(direct.node.now()) {
             time::sleep(due.saturating_sub(direct.node.now())).await;
             let now = direct.node.now();
-            // A server with a request limit is not probed: probes count against the limit.
-            let is_limited = direct.state().is_limited(now, &server.life);
-            let is_alive = is_limited || !direct.is_silent(&server).await;
+            let may_probe = direct.may_probe(&server.life);
+            let is_alive = !may_probe || !direct.is_silent(&server).await;
             writer.probed(now, is_alive);
             alive_at.send_replace(writer.alive_at());
         }
@@ -174,12 +173,8 @@
                 self.ticket.end();
             }
             let now = self.direct.node.now();
-            let is_limited = self.direct.state().is_limited(now, &self.held.server);
-            let view = ticket::View {
-                now,
-                alive_at: *self.alive_at.borrow_and_update(),
-                is_limited,
-            };
+            let alive_at = *self.alive_at.borrow_and_update();
+            let view = self.direct.ticket_view(now, alive_at, &self.held.server);
             match self.ticket.next(view) {
                 ticket::Step::Send(order) => {
                     // Not cancelled by the end of the request: a release on another connection might
@@ -212,11 +207,13 @@
         let direct = &self.direct;
         let held = &self.held;
         let (path, body) = match order {
-            Order::Reserve(time) => direct.dialect.reserve(&held.ticket, held.tokens, time),
+            Order::Reserve(time) | Order::Renew(time) => {
+                direct.dialect.reserve(&held.ticket, held.tokens, time)
+            }
             Order::Release => direct.dialect.release(&held.ticket),
         };
         self.ticket.sent(direct.node.now(), order);
-        let response = direct.order(held, path, body).await;
+        let response = direct.order(held, order, path, body).await;
         let now = direct.node.now();
         let answer = match response {
             Ok(status) => answer_of(status),
@@ -225,7 +222,7 @@
         self.ticket.answered(answer);
         match (order, response) {
             (Order::Release, Ok(status)) => self.released = Some(status),
-            (Order::Reserve(_), Err(_))
+            (Order::Reserve(_) | Order::Renew(_), Err(_))
                 if direct.log_limiter.allow(Event::MemoryOrderUnanswered, now) =>
             {
                 log_event!(direct.node.log(), Event::MemoryOrderUnanswered, "server" => &held.server,
@@ -271,13 +268,35 @@
 }
 
 impl Direct {
+    fn ticket_view(
+        &self,
+        now: Duration,
+        alive_at: Duration,
+        server: &register::Instance,
+    ) -> ticket::View {
+        let state = self.state();
+        let pause = state.backoffs.pause(now, load::server_key(server));
+        ticket::View {
+            now,
+            alive_at,
+            is_limited: state.is_limited(now, server),
+            paused_until: pause.map(|pause| pause.until),
+        }
+    }
+
     /// Sends an order to a server. Returns the status of its response, or why there is none.
     async fn order(
         &self,
         held: &Held,
+        order: Order,
         path: &'static str,
         body: Vec<u8>,
     ) -> Result<StatusCode, Answer> {
+        let target = outbound::Target::new(&held.server, held.addr);
+        let parcel = outbound::Parcel::Order(order);
+        if self.check(target, parcel).is_err() {
+            return Err(Answer::Unsent);
+        }
         let mut unanswered = Answer::Unsent;
         let response = async {
             let mut conn = pool::Conn::open(held.addr).await.ok()?;
@@ -286,13 +305,14 @@
                 .header(header::CONTENT_TYPE, "application/json")
                 .body(Full::new(Bytes::from(body)))
                 .ok()?;
-            self.charge(&held.server);
             unanswered = Answer::Missing;
-            let target = outbound::Target::new(&held.server, held.addr);
             let received = self
-                .send_to_server(&mut conn, target, tally::Kind::Order, request)
-                .await
-                .ok()?;
+                .send_to_server(&mut conn, target, parcel, request)
+                .await;
+            if let Err(outbound::Failure::Withheld) = received {
+                unanswered = Answer::Unsent;
+            }
+            let received = received.ok()?;
             // Reads the whole response: closing a connection with unread data would reset it.
             let _ = received.body.collect().await;
             Some(received.head.status)
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -99,6 +99,8 @@
     MemoryOrderUnanswered = 253, Warning, "order to set memory aside got no answer";
     ServerPause = 260, Info, "backend server asked this entry to send it nothing for a time";
     ServerLeaving = 261, Info, "backend server says in an answer that it leaves";
+    RequestPaused = 262, Info, "request told to come back: its backend servers asked for a pause";
+    SendWithheld = 263, Info, "not sent: its backend server asked for a pause, or takes nothing new";
 }
 
 impl slog::Value for register::Instance {
--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -533,12 +533,11 @@
     let shed = state.shed.clone();
     let shed = shed.filter(|shed| shed.kinds.contains(&kind))?;
     state.shed_at.push(Instant::now());
-    let lines = shed.retry_after.iter();
-    Some(
-        lines
-            .map(|value| format!("Retry-After: {value}\r\n"))
-            .collect(),
-    )
+    let mut lines = String::new();
+    for value in &shed.retry_after {
+        lines += &format!("Retry-After: {value}\r\n");
+    }
+    Some(lines)
 }
 
 async fn serve(
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -35,6 +35,18 @@
         "\n",
         r#"{"msg":"zones","ts":"2026-01-01T00:00:09Z","node":"b","event":236,"zones":""}"#,
         "\n",
+        r#"{"msg":"pause","ts":"2026-01-01T00:00:10Z","node":"d","event":260,"server":"i-4","change":"begins"}"#,
+        "\n",
+        r#"{"msg":"pause","ts":"2026-01-01T00:00:11Z","node":"d","event":260,"server":"i-4","change":"ends"}"#,
+        "\n",
+        r#"{"msg":"pause","ts":"2026-01-01T00:00:11Z","node":"d","event":260,"server":"i-5","change":"begins"}"#,
+        "\n",
+        r#"{"msg":"pause","ts":"2026-01-01T00:00:11Z","node":"c","event":260,"server":"i-6","change":"begins"}"#,
+        "\n",
+        r#"{"msg":"come back","ts":"2026-01-01T00:00:12Z","node":"d","event":262,"request":"r8"}"#,
+        "\n",
+        r#"{"msg":"request refused or failed","ts":"2026-01-01T00:00:12Z","node":"d","event":204,"request":"r8","status":503}"#,
+        "\n",
         r#"{"msg":"cut","ts":"2026-01-01T00:00:08Z","node":"b","event":219,"requests":"r4 r5","stage":"waiting"}"#,
         "\n"
     ),
@@ -122,6 +134,16 @@
     assert!(!text.contains("zones="), "it ended before: {text}");
 }
 
+/// The pauses in progress at the entry of a request that was refused for them.
+#[test]
+fn pauses_in_progress() {
+    let text = String::from_utf8_lossy(&explain("r8").stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 3, "{text}");
+    assert!(lines[1].starts_with("->"), "{text}");
+    assert!(lines[2].contains("server=\"i-5\""), "{text}");
+}
+
 #[test]
 fn unknown_request() {
     assert_eq!(explain("r9").status.code(), Some(1));
--- a/tests/ticket_orders.rs
+++ b/tests/ticket_orders.rs
@@ -81,6 +81,8 @@
     probes: usize,
     now: Duration,
     is_limited: bool,
+    /// When the server wants nothing.
+    paused: std::ops::Range<Duration>,
     /// When the running order gives an answer, or its timeout.
     answer_at: Option<(Duration, Answer)>,
     wait_until: Duration,
@@ -108,6 +110,7 @@
             probes: 0,
             now: Duration::ZERO,
             is_limited: false,
+            paused: Duration::ZERO..Duration::ZERO,
             answer_at: None,
             wait_until: Duration::ZERO,
             on_way: Vec::new(),
@@ -148,7 +151,7 @@
         let due = self.on_way.extract_if(.., |(at, _)| *at <= now);
         for (_, order) in due {
             self.held_until = match order {
-                Order::Reserve(time) => Some(now + time),
+                Order::Reserve(time) | Order::Renew(time) => Some(now + time),
                 Order::Release => None,
             };
         }
@@ -189,11 +192,12 @@
             now,
             alive_at: self.writer.alive_at(),
             is_limited: self.is_limited,
+            paused_until: self.paused.contains(&now).then_some(self.paused.end),
         };
         match self.ticket.next(view) {
             Step::Send(order) => {
                 match order {
-                    Order::Reserve(_) => self.reserves += 1,
+                    Order::Reserve(_) | Order::Renew(_) => self.reserves += 1,
                     Order::Release => self.releases += 1,
                 }
                 self.ticket.sent(now, order);
@@ -258,7 +262,7 @@
         // Its request does not begin.
         run.ended_at = Some(Duration::ZERO);
         run.run(ms(30_000), |_, order| match order {
-            Order::Reserve(_) => Fate::late(ms(late)),
+            Order::Reserve(_) | Order::Renew(_) => Fate::late(ms(late)),
             Order::Release => Fate::PROMPT,
         });
         assert_eq!((run.end, run.reserves), (Some(End::Released), 1), "{late}");
@@ -330,7 +334,7 @@
         run.run(ms(3_000), |_, _| Fate::late(ms(late)));
         run.ended_at = Some(ms(3_000));
         run.run(ms(40_000), |_, order| match order {
-            Order::Reserve(_) => Fate::late(ms(late)),
+            Order::Reserve(_) | Order::Renew(_) => Fate::late(ms(late)),
             Order::Release => Fate::PROMPT,
         });
         assert_eq!(run.end, Some(End::Released), "late by {late} ms");
@@ -426,3 +430,46 @@
         );
     }
 }
+
+/// One order keeps the memory of a request that runs over a pause.
+#[test]
+fn renewed_in_pause() {
+    for begins in (1_000..2_000).step_by(50) {
+        let mut run = Run::new();
+        run.paused = ms(begins)..ms(begins + 3_500);
+        run.run(ms(begins), |_, _| Fate::PROMPT);
+        let before = run.reserves;
+        run.run(ms(begins + 3_500), |_, _| Fate::PROMPT);
+        assert!(!run.was_lost, "paused from {begins} ms on");
+        assert!(
+            run.reserves <= before + 1,
+            "{} orders",
+            run.reserves - before
+        );
+        run.run(ms(begins + 8_000), |_, _| Fate::PROMPT);
+        assert!(!run.was_lost, "after the pause from {begins} ms on");
+    }
+}
+
+/// The memory of a request that ends in a pause is free by itself.
+#[test]
+fn released_in_pause() {
+    let mut run = Run::new();
+    run.paused = ms(2_000)..ms(60_000);
+    run.run(ms(3_000), |_, _| Fate::PROMPT);
+    run.finish();
+    run.run(ms(50_000), |_, _| Fate::PROMPT);
+    assert_eq!((run.end, run.releases), (Some(End::Expired), 0));
+    assert_eq!(run.longest_late, Duration::ZERO);
+}
+
+/// What a request held when a pause began is released after it.
+#[test]
+fn release_left_out_after_pause() {
+    let mut run = Run::new();
+    run.paused = ms(1_000)..ms(2_500);
+    run.run(ms(1_500), |_, _| Fate::PROMPT);
+    run.finish();
+    run.run(ms(2_600), |_, _| Fate::PROMPT);
+    assert_eq!((run.end, run.releases), (Some(End::Released), 1));
+}
