A backend server that says in an answer that it leaves gets nothing new

Cause: Server-Leaving was not read. The register now keeps the instances that said so apart from their records: any heartbeat or datagram of them counts as draining, also after their records were forgotten, and the next instance is not concerned. Requests that run there end there; orders and probes go on. Callers do not get the header.

--- a/src/direct/register.rs
+++ b/src/direct/register.rs
@@ -152,6 +152,10 @@
 /// Time after its last heartbeat until a backend server is forgotten.
 pub const FORGET_AFTER: Duration = Duration::from_secs(60);
 
+/// How long it is remembered that an instance said in an answer that it leaves: longer than any
+/// heartbeat of it may be late.
+const LEAVING_KEPT: Duration = Duration::from_secs(600);
+
 /// How long an instance must be known before a record without a start time can end it. This is
 /// longer than such records are passed on, so that one about the previous instance does not end the
 /// next.
@@ -215,6 +219,9 @@
     holders: HashMap<SocketAddr, String>,
     /// Ids by the keys of their latest instances. Invariant: one for each id in `by_id`.
     by_key: HashMap<u64, String>,
+    /// Instances that said in an answer that they leave, and when. They accept no requests, whatever a
+    /// record says, also if they are forgotten and become known again.
+    leaving: HashMap<Instance, Duration>,
     /// Zones whose servers get no new requests.
     evacuated: BTreeSet<String>,
 }
@@ -244,7 +251,10 @@
     }
 
     /// Adds a record. `direct`: this process received the heartbeat itself.
-    pub fn merge(&mut self, now: Duration, record: Record, direct: bool) -> Update {
+    pub fn merge(&mut self, now: Duration, mut record: Record, direct: bool) -> Update {
+        if self.leaving.contains_key(&record.life) {
+            record.phase = record.phase.max(Phase::Draining);
+        }
         let id = &record.life.id;
         let update = match self.by_id.get_mut(id) {
             None => self.add(now, record.clone()),
@@ -331,6 +341,19 @@
         Some(known.record.clone())
     }
 
+    /// Notes that an instance said in an answer that it leaves. Returns its record if that is news.
+    pub fn mark_leaving(&mut self, now: Duration, instance: &Instance) -> Option<Record> {
+        self.leaving.insert(instance.clone(), now);
+        let known = self.by_id.get_mut(&instance.id);
+        let known = known.filter(|known| known.record.life == *instance)?;
+        if known.record.phase != Phase::Ready {
+            return None;
+        }
+        known.record.phase = Phase::Draining;
+        known.received = Some(now);
+        Some(known.record.clone())
+    }
+
     /// Notes that another instance answered at the address of this one.
     pub fn mark_displaced(&mut self, instance: &Instance) {
         let known = self.by_id.get_mut(&instance.id);
@@ -439,6 +462,7 @@
     pub fn prune(&mut self, now: Duration) {
         self.by_id
             .retain(|_, known| now < known.seen + FORGET_AFTER);
+        self.leaving.retain(|_, at| now < *at + LEAVING_KEPT);
         let by_id = &self.by_id;
         self.holders.retain(|_, id| by_id.contains_key(id));
         self.by_key.retain(|_, id| by_id.contains_key(id));
--- a/src/edge/direct/dialect.rs
+++ b/src/edge/direct/dialect.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use http::HeaderMap;
+use http::HeaderName;
 use http::request;
 use http::response;
 
@@ -130,6 +131,9 @@
     /// Headers of the request that an attempt sends to a backend server.
     fn attempt_headers(&self, head: &request::Parts, attempt: &Attempt<'_>) -> HeaderMap;
 
+    /// Whether a header of a backend server's response is meant for this entry and not for callers.
+    fn is_for_entry(&self, name: &HeaderName) -> bool;
+
     /// Decodes the head of a backend server's response.
     fn response(&self, head: &response::Parts) -> Response;
 
--- a/src/edge/direct/heartbeat.rs
+++ b/src/edge/direct/heartbeat.rs
@@ -38,7 +38,8 @@
         Ok(())
     }
 
-    fn broadcast_records(&self, records: Vec<register::Record>) {
+    /// Tells the other processes of servers at once.
+    pub(super) fn broadcast_records(&self, records: Vec<register::Record>) {
         for message in self.record_messages(records) {
             self.broadcast(message);
         }
--- a/src/edge/direct/outbound.rs
+++ b/src/edge/direct/outbound.rs
@@ -258,6 +258,12 @@
 
     fn observe_leaving(&self, life: &register::Instance, kind: tally::Kind) {
         let now = self.node.now();
+        let record = self.state().register.mark_leaving(now, life);
+        let Some(record) = record else {
+            return;
+        };
+        self.pool.close_idle(life);
+        self.broadcast_records(vec![record]);
         if self.log_limiter.allow(Event::ServerLeaving, now) {
             log_event!(self.node.log(), Event::ServerLeaving, "server" => life,
                 "source" => kind.name());
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -245,7 +245,7 @@
                     self.run_ended_well(&context);
                 }
                 span.end(response.head.status, "answered");
-                return pass_on(response);
+                return self.pass_on(response);
             }
             Ok(Ok(attempt::Response::Stream {
                 head,
@@ -260,7 +260,7 @@
         };
         if let Some(response) = failure.response {
             span.end(response.head.status, "failed by its backend server");
-            return pass_on(response);
+            return self.pass_on(response);
         }
         let (status, retry_after) =
             match retry::reply(&failure.cause, context.history, context.time_left()) {
@@ -408,7 +408,7 @@
         reader: Box<stream::Reader>,
     ) -> http::Response<listener::Body> {
         let status = head.status;
-        let headers = response_headers(head);
+        let headers = self.response_headers(head);
         let direct = Arc::clone(self);
         let chunks = async_stream::stream! {
             let began = Instant::now();
@@ -446,6 +446,28 @@
         response
     }
 
+    /// Headers of a server's response that are passed on to the caller.
+    fn response_headers(&self, head: &response::Parts) -> http::HeaderMap {
+        let is_for_entry = |name: &header::HeaderName| {
+            HOP_BY_HOP.contains(name) || self.dialect.is_for_entry(name)
+        };
+        let mut headers = head.headers.clone();
+        for name in head.headers.keys().filter(|name| is_for_entry(name)) {
+            headers.remove(name);
+        }
+        headers.remove("keep-alive");
+        headers.remove(header::CONTENT_LENGTH);
+        headers
+    }
+
+    fn pass_on(&self, complete: attempt::Complete) -> http::Response<listener::Body> {
+        let headers = self.response_headers(&complete.head);
+        let mut response = http::Response::new(listener::full(complete.body));
+        *response.status_mut() = complete.head.status;
+        *response.headers_mut() = headers;
+        response
+    }
+
     /// Records how long a response took to generate, if a single server generated all of it.
     fn observe_writing(&self, context: &Context, took: Duration) {
         let (Some(engine), Some(size)) = (&context.engine, context.request.size) else {
@@ -498,25 +520,6 @@
     }
 }
 
-/// Headers of a server's response that are passed on to the caller.
-fn response_headers(head: &response::Parts) -> http::HeaderMap {
-    let mut headers = head.headers.clone();
-    for name in &HOP_BY_HOP {
-        headers.remove(name);
-    }
-    headers.remove("keep-alive");
-    headers.remove(header::CONTENT_LENGTH);
-    headers
-}
-
-fn pass_on(complete: attempt::Complete) -> http::Response<listener::Body> {
-    let headers = response_headers(&complete.head);
-    let mut response = http::Response::new(listener::full(complete.body));
-    *response.status_mut() = complete.head.status;
-    *response.headers_mut() = headers;
-    response
-}
-
 fn reject(status: StatusCode, retry_after: Option<Duration>) -> http::Response<listener::Body> {
     let mut response = http::Response::new(listener::full(Bytes::new()));
     *response.status_mut() = status;
--- a/tests/server_register.rs
+++ b/tests/server_register.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use wigeonbarrow::direct::register::FORGET_AFTER;
 use wigeonbarrow::direct::register::Instance;
 use wigeonbarrow::direct::register::Phase;
 use wigeonbarrow::direct::register::Record;
@@ -125,3 +126,50 @@
     assert_eq!(recent[0].life, instance("near"));
     assert!(register.recent(NOW + span, span).is_empty());
 }
+
+#[test]
+fn leaving_taken_back() {
+    let mut register = Register::default();
+    register.merge(NOW, record("a", 1, 5, Phase::Ready), true);
+    let told = register.mark_leaving(NOW, &instance("a"));
+    assert_eq!(told.map(|record| record.phase), Some(Phase::Draining));
+    assert_eq!(register.mark_leaving(NOW, &instance("a")), None, "no news");
+    for seq in [4, 6, 7] {
+        register.merge(NOW, record("a", 1, seq, Phase::Ready), seq == 6);
+        assert!(ready(&register).is_empty(), "heartbeat {seq}");
+    }
+    // Others are told its state with their next heartbeats.
+    let recent = register.recent(NOW, Duration::from_secs(1));
+    assert!(recent.iter().all(|record| record.phase == Phase::Draining));
+}
+
+#[test]
+fn leaving_forgotten_with_its_record() {
+    let mut register = Register::default();
+    register.merge(NOW, record("a", 1, 5, Phase::Ready), true);
+    register.mark_leaving(NOW, &instance("a"));
+    register.prune(NOW + FORGET_AFTER * 2);
+    assert_eq!(register.get(&instance("a")), None);
+    register.merge(NOW, record("a", 1, 6, Phase::Ready), false);
+    assert!(ready(&register).is_empty(), "a late heartbeat revived it");
+    // An instance that was not known yet when it answered.
+    register.mark_leaving(NOW, &instance("b"));
+    register.merge(NOW, record("b", 2, 1, Phase::Ready), true);
+    assert!(ready(&register).is_empty());
+}
+
+#[test]
+fn leaving_of_former_instance() {
+    let life = |born| Instance::new("a", Some(born));
+    let at = |born, seq| Record {
+        life: life(born),
+        ..record("a", 1, seq, Phase::Ready)
+    };
+    let mut register = Register::default();
+    register.merge(NOW, at(1, 5), true);
+    register.mark_leaving(NOW, &life(1));
+    register.merge(NOW, at(2, 1), true);
+    assert_eq!(ready(&register), ["a"], "the next instance is another one");
+    assert_eq!(register.mark_leaving(NOW, &life(1)), None);
+    assert_eq!(ready(&register), ["a"]);
+}
