Answers without end take bounded memory, and comments are no answer

Fifty callers of a route that allows one run, at a server whose bodies have no end, took 843 MiB of an entry (a VM has 260 MB in all): each answer that is read whole was bounded by 16 MiB, all of them together by nothing. A stream that consists of comments without end was passed on to its caller until the deadline and cut then (4 of 6 requests), since a comment counted as an event.

edge/direct/buffer bounds what all whole answers hold together to 32 MiB beyond 64 KiB each, from the first byte read to the last one that a caller takes; one that finds no memory is broken off. Comments are passed on with the next event, so that a server that writes nothing else is left like any other that has not begun. The head of a response, interim responses included, is bounded to 256 KiB and the unread bytes of a connection to 64 KiB; answers to orders to 64 KiB.

--- a/src/direct/sse.rs
+++ b/src/direct/sse.rs
@@ -5,7 +5,7 @@
 use bytes::BytesMut;
 
 /// Largest event in bytes. No model writes larger ones.
-const MAX_EVENT: usize = 1 << 20;
+pub const MAX_EVENT: usize = 1 << 20;
 
 /// A complete event.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -14,6 +14,8 @@
     pub bytes: Bytes,
     /// The event's id, if it has one.
     pub id: Option<String>,
+    /// Whether it holds nothing but comments, so that it is no event to its reader.
+    pub is_comment: bool,
 }
 
 /// Buffers bytes until events are complete.
@@ -41,7 +43,12 @@
         self.searched = 0;
         let bytes = self.buf.split_to(end).freeze();
         let id = find_id(&bytes);
-        Some(Event { bytes, id })
+        let is_comment = lines(&bytes).all(|line| line.is_empty() || line.starts_with(b":"));
+        Some(Event {
+            bytes,
+            id,
+            is_comment,
+        })
     }
 
     /// Whether bytes of an incomplete event are buffered.
@@ -71,9 +78,13 @@
     None
 }
 
+fn lines(event: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let lines = event.split(|byte| *byte == b'\n');
+    lines.map(|line| line.strip_suffix(b"\r").unwrap_or(line))
+}
+
 fn find_id(event: &[u8]) -> Option<String> {
-    for line in event.split(|byte| *byte == b'\n') {
-        let line = line.strip_suffix(b"\r").unwrap_or(line);
+    for line in lines(event) {
         if let Some(id) = line.strip_prefix(b"id:") {
             let id = String::from_utf8_lossy(id);
             return Some(id.trim().to_owned());
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -36,6 +36,7 @@
 
 mod account;
 pub mod attempt;
+pub mod buffer;
 pub mod choose;
 pub mod context;
 pub mod count;
@@ -142,6 +143,8 @@
     counts: count::Counts,
     /// Requests in progress.
     progress: progress::Table,
+    /// Memory of responses that are read whole.
+    buffers: Arc<buffer::Pool>,
     /// Notified when load that other entries should know of changed here.
     loads_changed: Notify,
     /// Messages to send to all other processes at once, with repeats.
@@ -191,6 +194,7 @@
             cut_ids: cut::Gathered::default(),
             counts: count::Counts::new(node.metrics()),
             progress: progress::Table::default(),
+            buffers: Arc::default(),
             loads_changed: Notify::new(),
             broadcasts: Mutex::default(),
             message_queued: Notify::new(),
--- a/src/edge/direct/pool.rs
+++ b/src/edge/direct/pool.rs
@@ -3,7 +3,13 @@
 use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -12,6 +18,9 @@
 use hyper::body;
 use hyper::client::conn::http1;
 use hyper_util::rt::TokioIo;
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 use tokio::task;
 use tokio::time;
@@ -30,6 +39,12 @@
 /// request meets a connection that the server closes.
 const IDLE_TIMEOUT_SHARE: f64 = 0.6;
 
+/// Most bytes that a connection buffers unread.
+const MAX_BUFFERED: usize = 64 << 10;
+
+/// Most bytes that are read for the head of a response, interim responses included.
+const MAX_HEAD: usize = 4 * MAX_BUFFERED;
+
 /// Most idle connections to a server.
 const MAX_IDLE: usize = 8;
 
@@ -47,10 +62,90 @@
     (share as usize).min(MAX_IDLE)
 }
 
+/// Bounds the bytes that are read for the head of a response.
+#[derive(Debug, Default)]
+struct Meter {
+    /// Bytes that may still be read. [`usize::MAX`]: no head is awaited.
+    left: AtomicUsize,
+}
+
+impl Meter {
+    fn begin_head(&self) {
+        self.left.store(MAX_HEAD, Ordering::Relaxed);
+    }
+
+    fn end_head(&self) {
+        self.left.store(usize::MAX, Ordering::Relaxed);
+    }
+
+    /// Counts bytes that were read. Returns whether they are within the bound.
+    fn count(&self, bytes: usize) -> bool {
+        let left = self.left.load(Ordering::Relaxed);
+        if left == usize::MAX {
+            return true;
+        }
+        self.left
+            .store(left.saturating_sub(bytes), Ordering::Relaxed);
+        bytes <= left
+    }
+}
+
+/// A TCP connection whose heads are bounded.
+struct Metered {
+    tcp: TcpStream,
+    meter: Arc<Meter>,
+}
+
+impl AsyncRead for Metered {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.tcp).poll_read(cx, buf);
+        if matches!(read, Poll::Ready(Ok(()))) && !self.meter.count(buf.filled().len() - before) {
+            return Poll::Ready(Err(io::Error::other("the head of a response is too long")));
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Metered {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.tcp).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.tcp.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.tcp).poll_shutdown(cx)
+    }
+}
+
 /// A connection. Dropping it closes it, and the server cancels the request on it.
 pub struct Conn {
     sender: http1::SendRequest<Full<Bytes>>,
     task: task::JoinHandle<()>,
+    meter: Arc<Meter>,
     /// Whether it has carried a request before.
     pub used: bool,
 }
@@ -78,7 +173,14 @@
             .await
             .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
         tcp.set_nodelay(true)?;
-        let (sender, conn) = http1::handshake(TokioIo::new(tcp))
+        let meter = Arc::new(Meter::default());
+        let metered = Metered {
+            tcp,
+            meter: Arc::clone(&meter),
+        };
+        let (sender, conn) = http1::Builder::new()
+            .max_buf_size(MAX_BUFFERED)
+            .handshake(TokioIo::new(metered))
             .await
             .map_err(io::Error::other)?;
         let task = tokio::spawn(async move {
@@ -88,6 +190,7 @@
         Ok(Self {
             sender,
             task,
+            meter,
             used: false,
         })
     }
@@ -105,7 +208,10 @@
         _pass: outbound::Pass,
     ) -> Result<http::Response<body::Incoming>, Failure> {
         self.used = true;
-        match self.sender.try_send_request(request).await {
+        self.meter.begin_head();
+        let sent = self.sender.try_send_request(request).await;
+        self.meter.end_head();
+        match sent {
             Ok(response) => Ok(response),
             Err(mut err) => {
                 let unsent = err.take_message().is_some();
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -13,6 +13,7 @@
 use http::header;
 use http_body_util::BodyExt as _;
 use http_body_util::Full;
+use http_body_util::Limited;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time;
@@ -31,6 +32,9 @@
 /// Timeout of an order to a server: some round trips between availability zones.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Largest response to an order that is read.
+const MAX_ORDER_RESPONSE: usize = 64 << 10;
+
 /// Memory to reserve at a server.
 #[derive(Clone, Debug)]
 pub struct Wanted {
@@ -314,7 +318,9 @@
             }
             let received = received.ok()?;
             // Reads the whole response: closing a connection with unread data would reset it.
-            let _ = received.body.collect().await;
+            let _ = Limited::new(received.body, MAX_ORDER_RESPONSE)
+                .collect()
+                .await;
             Some(received.head.status)
         };
         let status = time::timeout(ORDER_TIMEOUT, response).await;
--- a/src/edge/direct/stream.rs
+++ b/src/edge/direct/stream.rs
@@ -9,6 +9,7 @@
 use hyper::body;
 
 use super::Direct;
+use super::buffer;
 use super::choose;
 use super::dialect;
 use super::pool;
@@ -51,6 +52,8 @@
     memory: Option<reserve::Reservation>,
     body: body::Incoming,
     splitter: sse::Splitter,
+    /// Comments that are passed on with the next event.
+    comments: BytesMut,
     keep_alive: Option<Duration>,
     closes: bool,
     has_started: bool,
@@ -76,6 +79,7 @@
             memory: held.1,
             body,
             splitter: sse::Splitter::default(),
+            comments: BytesMut::new(),
             keep_alive: response.keep_alive,
             closes: response.closes,
             has_started: false,
@@ -83,19 +87,20 @@
         }
     }
 
-    /// Reads the whole body. `None` if it is larger than `max_bytes` or breaks off.
+    /// Reads the whole body. `None` if it is larger than `max_bytes`, breaks off, or finds no memory.
     pub async fn collect(&mut self, max_bytes: usize) -> Option<Bytes> {
-        let mut out = BytesMut::new();
+        let mut frames = Vec::new();
+        let mut claim = buffer::Claim::new(&self.direct.buffers);
         while let Some(frame) = self.body.frame().await {
-            if let Some(data) = frame.ok()?.data_ref() {
-                out.extend_from_slice(data);
-            }
-            if out.len() > max_bytes {
-                return None;
+            if let Ok(data) = frame.ok()?.into_data() {
+                if claim.bytes() + data.len() > max_bytes || !claim.grow(data.len()) {
+                    return None;
+                }
+                frames.push(data);
             }
         }
         self.release_conn();
-        Some(out.freeze())
+        Some(claim.into_bytes(&frames))
     }
 
     /// Reads the next events. Cancel safe: it may be called again after its future was dropped.
@@ -127,7 +132,7 @@
             match self.body.frame().await {
                 Some(Ok(frame)) => {
                     let data = frame.data_ref().map_or(&[][..], |data| data);
-                    if !self.splitter.push(data) {
+                    if !self.splitter.push(data) || self.comments.len() > sse::MAX_EVENT {
                         return Next::Lost(retry::Failure::Broken);
                     }
                 }
@@ -135,6 +140,13 @@
                 None if self.splitter.has_partial_event() => {
                     return Next::Lost(retry::Failure::Broken);
                 }
+                None if !self.comments.is_empty() => {
+                    let bytes = self.comments.split().freeze();
+                    return Next::Chunk(Chunk {
+                        bytes,
+                        ..Chunk::default()
+                    });
+                }
                 None => {
                     self.release_conn();
                     return Next::End;
@@ -147,6 +159,11 @@
         let mut chunk = Chunk::default();
         let mut bytes = BytesMut::new();
         while let Some(event) = self.splitter.next_event() {
+            if event.is_comment {
+                self.comments.extend_from_slice(&event.bytes);
+                continue;
+            }
+            bytes.unsplit(self.comments.split());
             bytes.extend_from_slice(&event.bytes);
             chunk.events += 1;
             if event.id.is_some() {
--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -106,6 +106,108 @@
     }
 }
 
+/// Bytes without end in place of an answer, until the connection is closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// No status line.
+    Noise,
+    /// Header lines.
+    Headers,
+    /// One header line.
+    HeaderLine,
+    /// Header lines, one after the other with pauses.
+    SlowHeaders,
+    /// Interim responses.
+    Interim,
+    /// A body in chunks.
+    Body,
+    /// A body in chunks, with pauses.
+    SlowBody,
+    /// The extension of a chunk.
+    Extension,
+    /// Lines after the last chunk.
+    Trailers,
+    /// Comments of a stream of events.
+    Comments,
+    /// One event of a stream.
+    Event,
+    /// More bytes after a whole answer.
+    After,
+}
+
+impl Endless {
+    /// All of them.
+    pub const ALL: [Self; 12] = [
+        Self::Noise,
+        Self::Headers,
+        Self::HeaderLine,
+        Self::SlowHeaders,
+        Self::Interim,
+        Self::Body,
+        Self::SlowBody,
+        Self::Extension,
+        Self::Trailers,
+        Self::Comments,
+        Self::Event,
+        Self::After,
+    ];
+
+    /// What comes first, and what comes then again and again. `head`: the header lines of an answer.
+    fn parts(self, head: &str) -> (String, String) {
+        const LONG: usize = 16 << 10;
+        let chunked = format!("HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n");
+        let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
+        let events = format!("Content-Type: text/event-stream\r\n{head}");
+        let stream = format!("HTTP/1.1 200 OK\r\n{events}Transfer-Encoding: chunked\r\n\r\n");
+        match self {
+            Self::Noise => (String::new(), "noise\r\n".repeat(LONG / 7)),
+            Self::Headers => {
+                let lines = "X-More: and more\r\n".repeat(64);
+                (format!("HTTP/1.1 200 OK\r\n{head}"), lines)
+            }
+            Self::HeaderLine => {
+                let first = format!("HTTP/1.1 200 OK\r\n{head}X-Long: ");
+                (first, "x".repeat(LONG))
+            }
+            Self::SlowHeaders => {
+                let first = format!("HTTP/1.1 200 OK\r\n{head}");
+                (first, "X-More: and more\r\n".to_owned())
+            }
+            Self::Interim => {
+                let interim = "HTTP/1.1 102 Processing\r\n\r\n".repeat(64);
+                (String::new(), interim)
+            }
+            Self::Body => (chunked, chunk(&"x".repeat(LONG))),
+            Self::SlowBody => (chunked, chunk("x")),
+            Self::Extension => (format!("{chunked}5;x="), "x".repeat(LONG)),
+            Self::Trailers => {
+                let first = format!("{chunked}{}0\r\n", chunk("whole"));
+                (first, "X-More: and more\r\n".repeat(64))
+            }
+            Self::Comments => (stream, chunk(&": still here\n\n".repeat(64))),
+            Self::Event => (
+                format!("{stream}{}", chunk("data: ")),
+                chunk(&"x".repeat(LONG)),
+            ),
+            Self::After => {
+                let first = format!("HTTP/1.1 200 OK\r\n{head}Content-Length: 5\r\n\r\nwhole");
+                (
+                    first,
+                    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother".repeat(64),
+                )
+            }
+        }
+    }
+
+    fn pause(self) -> Duration {
+        match self {
+            Self::SlowHeaders | Self::SlowBody => Duration::from_millis(50),
+            // Other tasks of the same thread go on.
+            _ => Duration::from_micros(100),
+        }
+    }
+}
+
 /// What ends the body of an answer to a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Framing {
@@ -174,6 +276,8 @@
     rejects_releases: bool,
     /// Time from the arrival of an order to its answer.
     order_time: Duration,
+    /// What it answers with bytes without end, and how.
+    endless: Option<(Endless, Vec<Kind>)>,
     /// What it rejects to get a pause.
     shed: Option<Shed>,
     /// When it rejected something so.
@@ -322,6 +426,12 @@
         self.state.lock().expect("state lock").order_time = time;
     }
 
+    /// From now on it answers some kinds with bytes without end.
+    pub fn flood(&self, endless: Endless, kinds: &[Kind]) {
+        let endless = Some((endless, kinds.to_vec()));
+        self.state.lock().expect("state lock").endless = endless;
+    }
+
     /// From now on it rejects some kinds and asks for a pause, or does so no more.
     pub fn shed(&self, shed: Option<Shed>) {
         self.state.lock().expect("state lock").shed = shed;
@@ -540,6 +650,27 @@
     Some(lines)
 }
 
+/// How something of this kind is answered without end, if it is.
+fn endless(state: &Mutex<State>, kind: Kind) -> Option<Endless> {
+    let state = state.lock().expect("state lock");
+    let (endless, kinds) = state.endless.as_ref()?;
+    kinds.contains(&kind).then_some(*endless)
+}
+
+/// Writes until the connection is closed.
+async fn flood(
+    tx: &mut (impl AsyncWriteExt + Unpin),
+    endless: Endless,
+    head: &str,
+) -> std::io::Result<bool> {
+    let (first, again) = endless.parts(head);
+    tx.write_all(first.as_bytes()).await?;
+    loop {
+        tx.write_all(again.as_bytes()).await?;
+        time::sleep(endless.pause()).await;
+    }
+}
+
 async fn serve(
     tx: &mut (impl AsyncWriteExt + Unpin),
     id: &str,
@@ -562,6 +693,11 @@
         Kind::Request
     };
     let limit = record_arrival(state, kind);
+    if let Some(endless) = endless(state, kind) {
+        let id = request.header("x-request-id");
+        let head = format!("X-Request-Id: {id}\r\nX-Response-Seal: seal-of-{id}\r\n");
+        return flood(tx, endless, &head).await;
+    }
     if is_report {
         if let Some(lines) = shed(state, kind) {
             let head = limit + &lines;
@@ -733,6 +869,10 @@
         let head = record_arrival(state, Kind::Order) + &lines;
         return answer(tx, "503 Service Unavailable", &head, b"").await;
     }
+    if let Some(endless) = endless(state, Kind::Order) {
+        record_arrival(state, Kind::Order);
+        return flood(tx, endless, "").await;
+    }
     if rejects {
         let head = record_arrival(state, Kind::Order);
         return answer(tx, "503 Service Unavailable", &head, b"").await;
--- a/tests/event_cutting.rs
+++ b/tests/event_cutting.rs
@@ -62,3 +62,23 @@
         assert_eq!(received, (expected, whole));
     }
 }
+
+#[test]
+fn comments_taken_for_events() {
+    let mut splitter = Splitter::default();
+    assert!(splitter.push(b": a\n\nid: 1\ndata: x\n\n:\r\n: b\r\n\r\n: c\ndata: y\n\n\n\n"));
+    let events: Vec<(bool, Option<String>)> = std::iter::from_fn(|| splitter.next_event())
+        .map(|event| (event.is_comment, event.id))
+        .collect();
+    let id = Some("1".to_owned());
+    assert_eq!(
+        events,
+        [
+            (true, None),
+            (false, id),
+            (true, None),
+            (false, None),
+            (true, None)
+        ]
+    );
+}
