A server that rejects requests is left out for a moment, also without a time

Callers were rejected with 503 although other servers had room: a server that rejects within a millisecond leaves no load in the entry's account, so it looked idle and got 46 of 128 requests first, each of which took a retry of the service's budget (0.2 a request); once it was spent, a rejected request ended.

A rejection now pauses the server for 0.1 s, twice as long with each further one in a row, 2 s at most, and the next answer ends that.

--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -11,6 +11,13 @@
 /// Longest pause. A server that crashed is usually back after a few seconds.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 
+/// Pause after a server rejected a request and named no time; it doubles with each rejection in a row. A
+/// server that rejects at once looks idle and attracts more.
+const FIRST_REJECTED_PAUSE: Duration = Duration::from_millis(100);
+
+/// Longest such pause.
+const MAX_REJECTED_PAUSE: Duration = Duration::from_secs(2);
+
 /// Weight of the newest response in a server's failure rate, a moving average over about eight
 /// responses.
 const NEWEST_WEIGHT: f64 = 0.12;
@@ -25,6 +32,8 @@
 struct Server {
     /// Consecutive failures to reach it.
     unreachable: u32,
+    /// Consecutive rejections.
+    rejected: u32,
     /// It is sent no new requests before this time.
     paused_until: Duration,
     /// Moving average of failed responses, from 0 to 1.
@@ -51,11 +60,21 @@
         server.paused_until
     }
 
+    /// Notes that a server rejected a request.
+    pub fn record_rejection(&mut self, now: Duration, instance: &register::Instance) {
+        let server = self.by_instance.entry(instance.clone()).or_default();
+        server.rejected = (server.rejected + 1).min(8);
+        let pause = FIRST_REJECTED_PAUSE * 2u32.saturating_pow(server.rejected - 1);
+        let until = now + pause.min(MAX_REJECTED_PAUSE);
+        server.paused_until = server.paused_until.max(until);
+    }
+
     /// Notes a response. `ok`: it was correct and in time.
     pub fn record_response(&mut self, now: Duration, instance: &register::Instance, ok: bool) {
         let server = self.by_instance.entry(instance.clone()).or_default();
         if ok {
             server.unreachable = 0;
+            server.rejected = 0;
             server.paused_until = Duration::ZERO;
         }
         let before = decayed(server, now);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -479,8 +479,14 @@
                     .healths
                     .record_response(now, &server.life, false);
             }
-            retry::Failure::NotRun { at_fault, .. } => {
+            retry::Failure::NotRun {
+                at_fault,
+                displaced,
+            } => {
                 self.pause_helper(server, at_fault.as_deref());
+                if at_fault.is_none() && !displaced {
+                    self.state().healths.record_rejection(now, &server.life);
+                }
             }
             retry::Failure::Broken
             | retry::Failure::Away
--- a/tests/server_faults.rs
+++ b/tests/server_faults.rs
@@ -113,3 +113,26 @@
         assert!(!suspect::may_have_crashed(&failure), "{failure:?}");
     }
 }
+
+#[test]
+fn rejections_unnoticed() {
+    let mut health = Health::default();
+    let server = instance("i-1");
+    let mut now = Duration::ZERO;
+    let mut pauses = Vec::new();
+    for _ in 0..8 {
+        health.record_rejection(now, &server);
+        let began = now;
+        while health.is_paused(now, &server) {
+            now += Duration::from_millis(10);
+        }
+        pauses.push(now - began);
+    }
+    assert!(pauses.is_sorted() && pauses[0] <= Duration::from_millis(100));
+    assert_eq!(pauses.last(), Some(&Duration::from_secs(2)));
+    health.record_rejection(now, &server);
+    health.record_response(now, &server, true);
+    assert!(!health.is_paused(now, &server), "it serves again");
+    health.record_rejection(now, &server);
+    assert!(!health.is_paused(now + Duration::from_millis(100), &server));
+}
