A sidecar starts nothing at an engine that asked for none

The ledger now keeps the time: offers are refused with it, and what was reserved before is withdrawn where runs and segments are started, not run. It ends with the engine's incarnation, and a shorter time does not shorten it. A 503 counts as a failure as before, since the engine's page does not say that it did not run. Beside it, reports and errors of an engine are read up to 16 MiB, errors for a second; both were read without a bound.

paused_engine_started and next_engine_paused in memory; that the header reaches the ledger was read, not tested.

--- a/src/edge/sidecar/engine.rs
+++ b/src/edge/sidecar/engine.rs
@@ -7,9 +7,13 @@
 use bytes::BytesMut;
 use serde::Deserialize;
 use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::time;
 
 use super::core;
 use super::flow;
+use crate::direct::backoff;
+use crate::edge::header;
 use crate::sidecar::ledger;
 use crate::wire::id;
 use crate::wire::member;
@@ -23,6 +27,9 @@
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Largest report of an engine.
+const MAX_REPORT_BYTES: usize = 16 << 20;
+
 /// Longest line of an engine's stream.
 const MAX_LINE_BYTES: usize = 4 << 20;
 
@@ -214,8 +221,12 @@
         flow: &Arc<flow::Flow>,
     ) -> ledger::Event {
         let status = response.status().as_u16();
-        let error = response.json::<Error>().await;
-        let error = error.map_or_else(|_| String::new(), |error| error.error);
+        self.observe_pause(core, &response).await;
+        let error = time::timeout(CALL_TIMEOUT, json::<Error>(response)).await;
+        let error = error
+            .ok()
+            .flatten()
+            .map_or_else(String::new, |error| error.error);
         let cause = match (status, error.as_str()) {
             // An earlier request, on a connection that failed, has started it.
             (409, "duplicate") => return self.resume(core, attempt, flow).await,
@@ -237,6 +248,19 @@
         ledger::Event::Rejected(attempt, cause)
     }
 
+    /// Tells the ledger if a rejection names a time in which the engine wants to be started nothing.
+    pub(super) async fn observe_pause(&self, core: &core::Handle, response: &reqwest::Response) {
+        let status = response.status();
+        let is_rejection = status == reqwest::StatusCode::TOO_MANY_REQUESTS
+            || status == reqwest::StatusCode::SERVICE_UNAVAILABLE;
+        if let backoff::Notice::Pause(time) = header::pause(response.headers())
+            && is_rejection
+        {
+            core.send(core::Message::Event(ledger::Event::Paused(time)))
+                .await;
+        }
+    }
+
     /// Reopens the stream of a run at the end of the response received so far.
     pub async fn resume(
         &self,
@@ -289,7 +313,7 @@
     pub async fn list(&self) -> Option<ledger::Event> {
         let list: List = match self.get("/v1/runs").await {
             Ok(list) => list,
-            Err(err) if err.is_connect() => return Some(ledger::Event::Unreachable),
+            Err(Some(err)) if err.is_connect() => return Some(ledger::Event::Unreachable),
             Err(_) => return None,
         };
         let runs = list.runs.into_iter().map(|run| ledger::Listed {
@@ -329,15 +353,28 @@
         })
     }
 
-    async fn get<T: serde::de::DeserializeOwned>(&self, path: &str) -> reqwest::Result<T> {
-        self.call(reqwest::Method::GET, path)
+    /// Reads a report. `Err(None)`: it is none.
+    async fn get<T: DeserializeOwned>(&self, path: &str) -> Result<T, Option<reqwest::Error>> {
+        let sent = self
+            .call(reqwest::Method::GET, path)
             .timeout(CALL_TIMEOUT)
             .send()
-            .await?
-            .error_for_status()?
-            .json()
-            .await
+            .await;
+        let response = sent.and_then(reqwest::Response::error_for_status)?;
+        json(response).await.ok_or(None)
+    }
+}
+
+/// Reads a body of at most [`MAX_REPORT_BYTES`].
+pub(super) async fn json<T: DeserializeOwned>(mut response: reqwest::Response) -> Option<T> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = response.chunk().await.ok()? {
+        if body.len() + chunk.len() > MAX_REPORT_BYTES {
+            return None;
+        }
+        body.extend_from_slice(&chunk);
     }
+    serde_json::from_slice(&body).ok()
 }
 
 /// Reads a run's stream to its end.
--- a/src/edge/sidecar/segment.rs
+++ b/src/edge/sidecar/segment.rs
@@ -65,9 +65,10 @@
             }
             Err(_) => return ledger::Event::Disconnected(attempt),
         };
+        self.observe_pause(core, &response).await;
         match response.status().as_u16() {
-            200 => match response.json::<Held>().await {
-                Ok(held) => {
+            200 => match engine::json::<Held>(response).await {
+                Some(held) => {
                     let segment = run::Context {
                         url: self.url.clone(),
                         handle: held.handle,
@@ -75,7 +76,7 @@
                     flow.set_held(segment, held.tokens);
                     ledger::Event::Held(attempt)
                 }
-                Err(_) => ledger::Event::Disconnected(attempt),
+                None => ledger::Event::Disconnected(attempt),
             },
             400 => ledger::Event::Rejected(attempt, Cause::BadRequest),
             401 | 403 => ledger::Event::Rejected(attempt, Cause::Internal),
--- a/src/sidecar/ledger.rs
+++ b/src/sidecar/ledger.rs
@@ -62,6 +62,9 @@
 /// Retry-after time of a rejection for lack of capacity.
 pub const CAPACITY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Why work is refused in a pause that the backend server asked for.
+const PAUSED: &str = "the backend server asked for a pause";
+
 /// Number of an entry's stream, assigned by the driver.
 pub type Stream = u64;
 
@@ -123,6 +126,8 @@
     Held(id::Attempt),
     /// The backend server rejected the run or could not be reached: it was not run.
     Rejected(id::Attempt, Cause),
+    /// The backend server asked to be started nothing for this time.
+    Paused(Duration),
     /// The backend server ended the run with `Done` or `Failed`.
     Ended(run::Reply),
     /// The stream from the backend server broke; the run may go on.
@@ -279,6 +284,9 @@
     /// Fingerprints of runs that were lost before it was known whether the backend server died.
     /// Up to the given time they are included in the report of a crash.
     lost_runs: Vec<(Duration, id::Fingerprint)>,
+    /// Until when the backend server is started nothing, as it asked. Holds for its present
+    /// incarnation.
+    paused_until: Duration,
     /// Prefill tokens per second, microseconds per output token.
     speed: (u64, u64),
 }
@@ -303,6 +311,7 @@
             list_due: Duration::ZERO,
             unreachable_since: None,
             lost_runs: Vec::new(),
+            paused_until: Duration::ZERO,
             speed: (0, 0),
         }
     }
@@ -327,6 +336,7 @@
             }
             Event::Held(attempt) => self.held(attempt),
             Event::Rejected(attempt, cause) => self.rejected(now, attempt, cause, &mut out),
+            Event::Paused(time) => self.paused_until = self.paused_until.max(now + time),
             Event::Ended(reply) => self.ended(now, reply, &mut out),
             Event::Disconnected(attempt) => self.disconnected(now, attempt, &mut out),
             Event::NotFound(attempt) => self.not_found(now, attempt, &mut out),
@@ -400,6 +410,11 @@
         })
     }
 
+    /// Time left of a pause that the backend server asked for.
+    fn pause_left(&self, now: Duration) -> Option<Duration> {
+        (now < self.paused_until).then(|| self.paused_until.saturating_sub(now))
+    }
+
     /// Whether no new work is admitted.
     pub fn leaving(&self) -> bool {
         self.draining || self.backend.as_ref().is_some_and(|backend| backend.leaving)
@@ -455,6 +470,17 @@
     }
 }
 
+/// Sets when to return after a pause of the backend server that ends after `left`.
+fn return_after(mut reply: run::Reply, left: Option<Duration>) -> run::Reply {
+    if let Some(left) = left
+        && let run::Reply::Refused { failure, .. } | run::Reply::Failed { failure, .. } = &mut reply
+        && let Some(retry_after) = &mut failure.retry_after_ms
+    {
+        *retry_after = (*retry_after).max(left.as_millis() as u64);
+    }
+    reply
+}
+
 /// The final reply of an attempt that failed.
 fn failure_reply(attempt: id::Attempt, cause: Cause, ran: Ran, message: &str) -> run::Reply {
     let retry = (ran == Ran::NotRun).then_some(CAPACITY_RETRY_AFTER.as_millis() as u64);
--- a/src/sidecar/ledger/backend.rs
+++ b/src/sidecar/ledger/backend.rs
@@ -13,6 +13,7 @@
 use super::UNREACHABLE_TIMEOUT;
 use super::failure_reply;
 use super::parse_run;
+use super::return_after;
 use crate::wire::id;
 use crate::wire::outcome::Cause;
 use crate::wire::outcome::Ran;
@@ -36,6 +37,7 @@
             }
             self.orphans.clear();
             self.ended_orphans.clear();
+            self.paused_until = Duration::ZERO;
         }
         self.valid_until = now + backend.ttl;
         self.backend = Some(backend);
@@ -151,12 +153,8 @@
             Phase::Running | Phase::Missing(_) | Phase::Failing(_) | Phase::Stopping(_) => {
                 self.finish(now, attempt, Ran::NotRun);
                 let message = "the backend server did not take it";
-                out.push(Action::End(failure_reply(
-                    attempt,
-                    cause,
-                    Ran::NotRun,
-                    message,
-                )));
+                let reply = failure_reply(attempt, cause, Ran::NotRun, message);
+                out.push(Action::End(return_after(reply, self.pause_left(now))));
             }
         }
     }
--- a/src/sidecar/ledger/call.rs
+++ b/src/sidecar/ledger/call.rs
@@ -6,11 +6,13 @@
 use super::LEAVING_GRACE;
 use super::Ledger;
 use super::MAX_TIME_LIMIT;
+use super::PAUSED;
 use super::Phase;
 use super::Query;
 use super::Record;
 use super::Stream;
 use super::failure_reply;
+use super::return_after;
 use super::segment;
 use crate::wire::id;
 use crate::wire::outcome::Cause;
@@ -66,6 +68,7 @@
                 self.tombstones.insert(attempt, Ran::NotRun);
                 out.push(Action::Discard(attempt));
                 let reply = self.rejection(attempt, cause, message);
+                let reply = return_after(reply, self.pause_left(now));
                 out.push(Action::Reply(stream, reply));
             }
         }
@@ -81,6 +84,9 @@
         if backend.leaving {
             return Err((Cause::Leaving, "the backend server is leaving"));
         }
+        if self.pause_left(now).is_some() {
+            return Err((Cause::Busy, PAUSED));
+        }
         if offer.remaining_ms == 0 {
             return Err((Cause::Deadline, "the time limit has passed"));
         }
@@ -162,12 +168,20 @@
         let is_late = self
             .leaving_since
             .is_some_and(|since| now >= since + LEAVING_GRACE);
+        let pause_left = self.pause_left(now);
         let Some(record) = self.records.get_mut(&attempt) else {
             return;
         };
         if record.phase != Phase::Reserved || record.role.is_segment() {
             return;
         }
+        if pause_left.is_some() {
+            let stream = record.stream;
+            let reply = self.withdraw(attempt, Cause::Busy, PAUSED, out);
+            let reply = return_after(reply, pause_left);
+            out.extend(stream.map(|stream| Action::Reply(stream, reply)));
+            return;
+        }
         // A run in capacity that a segment reserved was admitted with that segment.
         if is_late && record.role != segment::Role::Final {
             let stream = record.stream;
--- a/src/sidecar/ledger/segment.rs
+++ b/src/sidecar/ledger/segment.rs
@@ -10,9 +10,11 @@
 use super::Action;
 use super::LEAVING_GRACE;
 use super::Ledger;
+use super::PAUSED;
 use super::Phase;
 use super::Record;
 use super::Stream;
+use super::return_after;
 use crate::wire::id;
 use crate::wire::outcome::Cause;
 use crate::wire::run;
@@ -97,6 +99,7 @@
         let is_late = self
             .leaving_since
             .is_some_and(|since| now >= since + LEAVING_GRACE);
+        let pause_left = self.pause_left(now);
         let Some(record) = self.records.get_mut(&attempt) else {
             let reply = match self.tombstones.outcome(attempt) {
                 Some(ran) => self.tombstone_reply(attempt, ran),
@@ -111,6 +114,10 @@
             let reply = self.withdraw(attempt, Cause::Leaving, "left before its start", out);
             return out.push(Action::Reply(stream, reply));
         }
+        if pause_left.is_some() {
+            let reply = self.withdraw(attempt, Cause::Busy, PAUSED, out);
+            return out.push(Action::Reply(stream, return_after(reply, pause_left)));
+        }
         record.phase = Phase::Running;
         record.stream = Some(stream);
         out.push(Action::Hold(attempt, context));
--- a/tests/sidecar_ledger.rs
+++ b/tests/sidecar_ledger.rs
@@ -452,3 +452,37 @@
         buffer::Next::Send(..)
     );
 }
+
+#[test]
+fn paused_engine_started() {
+    let mut ledger = ledger_with_backend(64);
+    let reserved = run::Offer {
+        start: false,
+        ..offer(1, run::Class::Short, 10)
+    };
+    offer_to(&mut ledger, ms(1), reserved);
+    ledger.step(ms(2), Event::Paused(ms(3_000)));
+    ledger.step(ms(3), Event::Paused(ms(500)));
+    let rejected = offer_to(&mut ledger, ms(1_000), offer(2, run::Class::Short, 10));
+    assert_eq!(rejection(&rejected), Some(Cause::Busy));
+    let returns = rejected.iter().find_map(|action| match action {
+        Action::Reply(_, run::Reply::Refused { failure, .. }) => failure.retry_after_ms,
+        _ => None,
+    });
+    assert_eq!(returns, Some(2_002));
+    // It was reserved before the pause.
+    let started = ledger.step(ms(1_000), Event::Call(1, run::Call::Start(attempt(1))));
+    assert!(!has_run(&started), "{started:?}");
+    assert_eq!(rejection(&started), Some(Cause::Busy));
+    let after = offer_to(&mut ledger, ms(3_002), offer(3, run::Class::Short, 10));
+    assert!(has_run(&after));
+}
+
+#[test]
+fn next_engine_paused() {
+    let mut ledger = ledger_with_backend(64);
+    ledger.step(ms(1), Event::Paused(ms(60_000)));
+    ledger.step(ms(2), Event::Announced(backend(2)));
+    let offered = offer_to(&mut ledger, ms(3), offer(1, run::Class::Short, 10));
+    assert!(has_run(&offered));
+}
