--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -280,6 +280,8 @@
     endless: Option<(Endless, Vec<Kind>)>,
     /// What it rejects to get a pause.
     sheds: Option<Shed>,
+    /// Requests at a time beyond which it rejects others and asks for a pause of a second.
+    capacity: Option<usize>,
     /// When it rejected something so, and what.
     shed: Vec<(Instant, Request)>,
     /// Whether all its answers say that it leaves.
@@ -447,6 +449,11 @@
         self.shed_requests().into_iter().map(|(at, _)| at).collect()
     }
 
+    /// Takes so many requests at a time from now on, and asks for a pause of a second beyond.
+    pub fn bound(&self, capacity: usize) {
+        self.state.lock().expect("state lock").capacity = Some(capacity);
+    }
+
     /// When it asked for a pause, and what it rejected.
     pub fn shed_requests(&self) -> Vec<(Instant, Request)> {
         self.state.lock().expect("state lock").shed.clone()
@@ -668,10 +675,12 @@
 }
 
 /// The header lines of a rejection that asks for a pause, if this kind is rejected now.
-fn shed(state: &Mutex<State>, kind: Kind, request: &Request) -> Option<String> {
+fn shed(state: &Mutex<State>, kind: Kind, request: &Request, working: usize) -> Option<String> {
     let mut state = state.lock().expect("state lock");
     let shed = state.sheds.clone();
-    let shed = shed.filter(|shed| shed.kinds.contains(&kind))?;
+    let shed = shed.filter(|shed| shed.kinds.contains(&kind));
+    let is_full = state.capacity.is_some_and(|most| working >= most) && kind == Kind::Request;
+    let shed = shed.or_else(|| is_full.then(|| Shed::new(1.0, &[kind])))?;
     state.shed.push((Instant::now(), request.clone()));
     let mut lines = String::new();
     for value in &shed.retry_after {
@@ -729,7 +738,7 @@
         return flood(tx, endless, &head).await;
     }
     if is_report {
-        if let Some(lines) = shed(state, kind, &request) {
+        if let Some(lines) = shed(state, kind, &request, 0) {
             let head = limit + &lines;
             return answer(tx, "503 Service Unavailable", &head, b"").await;
         }
@@ -743,7 +752,8 @@
     if request.header("x-expect-instance") != id {
         return answer(tx, "421 Misdirected Request", &echo, b"").await;
     }
-    if let Some(lines) = shed(state, kind, &request) {
+    let taken = working.load(Ordering::Acquire);
+    if let Some(lines) = shed(state, kind, &request, taken) {
         let head = format!("{echo}X-Not-Executed: 1\r\n{lines}");
         return answer(tx, "503 Service Unavailable", &head, b"").await;
     }
@@ -895,7 +905,7 @@
         let rejects = state.rejects_releases && !reserves;
         (state.reserve_delay, rejects, state.order_time)
     };
-    if let Some(lines) = shed(state, Kind::Order, &request) {
+    if let Some(lines) = shed(state, Kind::Order, &request, 0) {
         let head = record_arrival(state, Kind::Order) + &lines;
         return answer(tx, "503 Service Unavailable", &head, b"").await;
     }
