--- a/src/direct/backoff.rs
+++ b/src/direct/backoff.rs
@@ -161,6 +161,7 @@
         if let Some(pause) = known.filter(|pause| !pause.is_taken) {
             let is_later = until > pause.until;
             pause.until = pause.until.max(until);
+            pause.placed = 0;
             return is_later.then_some(Change::Extended);
         }
         let pause = Pause {
--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use super::catalog;
+use super::register;
 
 /// Why an attempt gave no response to pass on.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -18,6 +19,8 @@
     Unsent,
     /// Not sent: a server that was chosen for it takes no requests any more, or asked for a pause.
     Withdrawn,
+    /// Not sent: a helper server did not reserve memory for its segment of the prompt.
+    Unreserved(register::Instance),
     /// Not sent: all servers are in evacuated zones or outside the request's home regions.
     Excluded,
     /// The server says that it did not run the request.
@@ -53,6 +56,7 @@
                 | Self::Paused(_)
                 | Self::Unsent
                 | Self::Withdrawn
+                | Self::Unreserved(_)
                 | Self::Excluded
                 | Self::NotRun { .. }
                 | Self::Suspect
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -155,7 +155,10 @@
             }
         };
         self.record_failure(context, &server, cause);
-        context.failed_servers.push(server.life);
+        context.failed_servers.push(match cause {
+            retry::Failure::Unreserved(helper) => helper.clone(),
+            _ => server.life,
+        });
         outcome
     }
 
@@ -224,11 +227,11 @@
         let memory = self.reserve(context, &assignment).await?;
         progress.reach(progress::Stage::Connecting);
         let target = outbound::Target::new(&server.life, server.addr);
-        let parcel = outbound::Parcel::Request {
+        let message = outbound::Message::Request {
             id: &context.request.id,
             helpers: &assignment.helpers,
         };
-        if self.check(target, parcel).is_err() {
+        if self.check(target, message).is_err() {
             return Err(retry::Failure::Withdrawn);
         }
         let may_reuse = context.route.repeatable() || REUSE_FOR_UNSAFE;
@@ -316,11 +319,8 @@
             context.time_left(),
         )
         .await;
-        // Another request may have taken the memory meanwhile. Nothing was sent in that case.
-        memory.map(Some).ok_or(retry::Failure::NotRun {
-            at_fault: None,
-            displaced: false,
-        })
+        // Another request may have taken the memory meanwhile.
+        memory.map(Some).map_err(retry::Failure::Unreserved)
     }
 
     fn build_request(
@@ -368,12 +368,12 @@
         let (mut conn, memory) = resources;
         let server = &assignment.server;
         let target = outbound::Target::new(&server.life, server.addr);
-        let parcel = outbound::Parcel::Request {
+        let message = outbound::Message::Request {
             id: &expected.id,
             helpers: &assignment.helpers,
         };
         let received = self
-            .send_to_server(&mut conn, target, parcel, request)
+            .send_to_server(&mut conn, target, message, request)
             .await;
         let outbound::Received { head, body, answer } = match received {
             Ok(received) => received,
@@ -493,6 +493,7 @@
             | retry::Failure::Limited(_)
             | retry::Failure::Paused(_)
             | retry::Failure::Withdrawn
+            | retry::Failure::Unreserved(_)
             | retry::Failure::Excluded
             | retry::Failure::Suspect
             | retry::Failure::Late
@@ -553,6 +554,7 @@
         retry::Failure::Paused(_) => "paused",
         retry::Failure::Unsent => "unsent",
         retry::Failure::Withdrawn => "withdrawn",
+        retry::Failure::Unreserved(_) => "unreserved",
         retry::Failure::Excluded => "excluded",
         retry::Failure::NotRun { .. } => "not_run",
         retry::Failure::Broken => "broken",
--- a/src/edge/direct/outbound.rs
+++ b/src/edge/direct/outbound.rs
@@ -22,9 +22,9 @@
 use crate::log_event;
 
 /// Shows that something may be sent. Only this module creates it, so nothing passes by its checks.
-pub(super) struct Pass(());
+pub(super) struct Permit(());
 
-/// Whom something is sent to.
+/// The instance that something is sent to, and its address.
 #[derive(Clone, Copy)]
 pub(super) struct Target<'a> {
     life: &'a register::Instance,
@@ -40,7 +40,7 @@
 
 /// What is sent.
 #[derive(Clone, Copy)]
-pub(super) enum Parcel<'a> {
+pub(super) enum Message<'a> {
     /// A caller's request.
     Request {
         /// Its id.
@@ -54,7 +54,7 @@
     Order(ticket::Order),
 }
 
-impl Parcel<'_> {
+impl Message<'_> {
     fn purpose(&self) -> backoff::Purpose {
         match self {
             Self::Request { .. } => backoff::Purpose::Request,
@@ -104,14 +104,14 @@
     state: &super::State,
     now: Duration,
     target: Target<'a>,
-    parcel: Parcel<'a>,
+    message: Message<'a>,
 ) -> Option<(&'a register::Instance, &'static str)> {
     let is_paused = |life: &register::Instance| {
         let server = load::server_key(life);
-        !state.backoffs.allows(now, server, parcel.purpose())
+        !state.backoffs.allows(now, server, message.purpose())
     };
     let no_pauses = state.backoffs.is_empty();
-    let Parcel::Request { helpers, .. } = parcel else {
+    let Message::Request { helpers, .. } = message else {
         return (!no_pauses && is_paused(target.life)).then_some((target.life, "pause"));
     };
     let helpers = helpers.iter().map(|helper| &helper.life);
@@ -142,17 +142,17 @@
         &self,
         conn: &mut pool::Conn,
         target: Target<'_>,
-        parcel: Parcel<'_>,
+        message: Message<'_>,
         request: http::Request<Full<Bytes>>,
     ) -> Result<Received, Failure> {
         conn.ready().await?;
-        let pass = self.check(target, parcel)?;
-        let kind = parcel.purpose().kind();
+        let permit = self.check(target, message)?;
+        let kind = message.purpose().kind();
         let sent_at = self.record_sent(target.life, kind);
         if kind == tally::Kind::Order {
             self.charge(target.life);
         }
-        let response = conn.send(request, pass).await?;
+        let response = conn.send(request, permit).await?;
         let (head, body) = response.into_parts();
         let answer = self.dialect.response(&head);
         // What another instance says is not said of the expected one.
@@ -165,18 +165,22 @@
     /// Whether something may be sent now. Asked directly before it is, since the server may have asked
     /// for a pause after it was chosen. Also asked before a connection is opened, which would be of no
     /// use.
-    pub(super) fn check(&self, target: Target<'_>, parcel: Parcel<'_>) -> Result<Pass, Failure> {
+    pub(super) fn check(
+        &self,
+        target: Target<'_>,
+        message: Message<'_>,
+    ) -> Result<Permit, Failure> {
         let now = self.node.now();
         let mut state = self.state();
-        let Some((at, why)) = withholds(&state, now, target, parcel) else {
-            return Ok(Pass(()));
+        let Some((at, why)) = withholds(&state, now, target, message) else {
+            return Ok(Permit(()));
         };
-        let kind = parcel.purpose().kind();
+        let kind = message.purpose().kind();
         state.backoffs.record_held(now, load::server_key(at), kind);
         drop(state);
         self.counts.withheld(kind);
         if self.log_limiter.allow(Event::SendWithheld, now) {
-            log_event!(self.node.log(), Event::SendWithheld, "request" => parcel.request(),
+            log_event!(self.node.log(), Event::SendWithheld, "request" => message.request(),
                 "server" => at, "kind" => kind.name(), "why" => why);
         }
         Err(Failure::Withheld)
@@ -228,6 +232,8 @@
         if notice == backoff::Notice::Absent {
             return;
         }
+        // A pause that has ended is not extended: the next one begins.
+        self.log_ended_pauses();
         let now = self.node.now();
         let server = load::server_key(life);
         let (change, pause) = {
--- a/src/edge/direct/pool.rs
+++ b/src/edge/direct/pool.rs
@@ -201,11 +201,11 @@
         ready.map_err(|err| Failure::Unsent(err.to_string()))
     }
 
-    /// Sends a request and waits for the head of its response. `_pass`: shows that it may be sent.
+    /// Sends a request and waits for the head of its response. `_permit`: shows that it may be sent.
     pub(super) async fn send(
         &mut self,
         request: http::Request<Full<Bytes>>,
-        _pass: outbound::Pass,
+        _permit: outbound::Permit,
     ) -> Result<http::Response<body::Incoming>, Failure> {
         self.used = true;
         self.meter.begin_head();
--- a/src/edge/direct/probe.rs
+++ b/src/edge/direct/probe.rs
@@ -195,7 +195,7 @@
         server: &register::Record,
     ) -> Result<dialect::Report, Missing> {
         let target = outbound::Target::new(&server.life, server.addr);
-        if self.check(target, outbound::Parcel::Probe).is_err() {
+        if self.check(target, outbound::Message::Probe).is_err() {
             return Err(Missing::Unknown);
         }
         let mut is_withheld = false;
@@ -205,9 +205,9 @@
                 .header(http::header::HOST, server.addr.to_string())
                 .body(Full::new(Bytes::new()))
                 .ok()?;
-            let parcel = outbound::Parcel::Probe;
+            let message = outbound::Message::Probe;
             let received = self
-                .send_to_server(&mut conn, target, parcel, request)
+                .send_to_server(&mut conn, target, message, request)
                 .await;
             is_withheld = matches!(received, Err(outbound::Failure::Withheld));
             let received = received.ok()?;
--- a/src/edge/direct/reserve.rs
+++ b/src/edge/direct/reserve.rs
@@ -64,13 +64,17 @@
     /// servers in the order of their addresses, and none waits for memory while it holds some, so
     /// that no deadlock arises. It is renewed while `writer`, the server that writes the answer, is
     /// alive, at most for `time_left`.
+    ///
+    /// # Errors
+    ///
+    /// The server that did not reserve its part.
     pub async fn take(
         direct: &Arc<Direct>,
         name: &str,
         wanted: Vec<Wanted>,
         writer: &register::Record,
         time_left: Duration,
-    ) -> Option<Self> {
+    ) -> Result<Self, register::Instance> {
         let ttl = direct.settings.reservation_ttl;
         let now = direct.node.now();
         let deadline = now + time_left;
@@ -106,7 +110,7 @@
             let keeper = Keeper {
                 direct: Arc::clone(direct),
                 ticket: ticket::Ticket::new(ttl, deadline),
-                held,
+                held: held.clone(),
                 began: direct.node.now(),
                 running: reservation.running.subscribe(),
                 alive_at: seen.clone(),
@@ -114,10 +118,10 @@
             };
             tokio::spawn(keeper.run(taken));
             if !is_taken.await.unwrap_or(false) {
-                return None;
+                return Err(held.server);
             }
         }
-        Some(reservation)
+        Ok(reservation)
     }
 
     /// The ticket of the reservation at a server, if there is one.
@@ -297,8 +301,8 @@
         body: Vec<u8>,
     ) -> Result<StatusCode, Answer> {
         let target = outbound::Target::new(&held.server, held.addr);
-        let parcel = outbound::Parcel::Order(order);
-        if self.check(target, parcel).is_err() {
+        let message = outbound::Message::Order(order);
+        if self.check(target, message).is_err() {
             return Err(Answer::Unsent);
         }
         let mut unanswered = Answer::Unsent;
@@ -311,7 +315,7 @@
                 .ok()?;
             unanswered = Answer::Missing;
             let received = self
-                .send_to_server(&mut conn, target, parcel, request)
+                .send_to_server(&mut conn, target, message, request)
                 .await;
             if let Err(outbound::Failure::Withheld) = received {
                 unanswered = Answer::Unsent;
