Long prompts: lanes by demand, free servers at once, gaps weighed

Cause: on 45 servers 13 to 19 read long prompts while others waited up to 7.8 s against an objective of 4 s. The lane boundary kept spare servers for short prompts while long ones waited, the first in rank waited for up to 17 servers to be free at once, and a long prompt with seconds to spare was read beside up to five streams on each server and stalled them. Change: the spare shrinks with the share of recent time in which long prompts waited; a prompt takes the servers that are free if it is on time there; apart, beside and after the writers are compared by expected loss of value, weighed by priority; a server so slow that the prompt would be read sooner without it is left out.

--- a/src/direct/catalog.rs
+++ b/src/direct/catalog.rs
@@ -192,6 +192,8 @@
     by_key: HashMap<String, usize>,
     /// Indexes of services by name.
     by_service: BTreeMap<String, usize>,
+    /// Priority of the most urgent route of each service.
+    most_urgent: HashMap<String, u8>,
 }
 
 impl Catalog {
@@ -219,11 +221,20 @@
         let by_service = services
             .map(|(index, service)| (service.name.clone(), index))
             .collect();
+        let mut most_urgent: HashMap<String, u8> = HashMap::new();
+        for route in &draft.routes {
+            for target in &route.targets {
+                let least = most_urgent.entry(target.service.clone());
+                let least = least.or_insert(route.priority);
+                *least = route.priority.min(*least);
+            }
+        }
         Ok(Self {
             draft,
             by_host,
             by_key,
             by_service,
+            most_urgent,
         })
     }
 
@@ -266,6 +277,11 @@
         Some(&self.draft.services[*index])
     }
 
+    /// Priority of the most urgent route to a service, 0 first. Routes without a service count as 0.
+    pub fn most_urgent(&self, service: &str) -> u8 {
+        self.most_urgent.get(service).copied().unwrap_or_default()
+    }
+
     /// All services.
     pub fn services(&self) -> &[Service] {
         &self.draft.services
--- a/src/direct/congestion.rs
+++ b/src/direct/congestion.rs
@@ -55,6 +55,11 @@
         self.at = now;
     }
 
+    /// Share of the recent past in which a long prompt waited, from 0 to 1.
+    pub fn level(&self) -> f64 {
+        self.level
+    }
+
     /// Whether, and why, a prompt that has no place yet is rejected where `servers` could read it.
     pub fn rejection(
         &self,
--- a/src/direct/lane.rs
+++ b/src/direct/lane.rs
@@ -25,6 +25,23 @@
 /// over, and a quarter of all to write on.
 const MAX_LONG_SERVERS: usize = 23;
 
+/// Demand for the reading of long prompts.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Whether a long prompt waits for its turn on any entry.
+    pub waits: bool,
+    /// Share of the recent past in which one waited. Invariant: 0 to 1.
+    pub level: f64,
+}
+
+impl Demand {
+    /// A long prompt waits now, and none did before.
+    pub const WAITING: Self = Self {
+        waits: true,
+        level: 0.0,
+    };
+}
+
 /// What a server is reserved for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Lane {
@@ -62,19 +79,22 @@
 }
 
 /// Lane of each server. The first servers in the order of their keys are for tight gap limits: as
-/// many as such requests need, or all of them while there is nothing long to read.
-pub fn lanes(servers: &[place::Server], has_waiting: bool, sharing: Sharing) -> Vec<Lane> {
+/// many as such requests need, or all of them while there is nothing long to read. The longer long
+/// prompts wait, the fewer spare servers are kept for tight gap limits: with a fixed spare, 45
+/// servers read long prompts on 13 to 19 of them while others waited for twice their objective.
+pub fn lanes(servers: &[place::Server], demand: Demand, sharing: Sharing) -> Vec<Lane> {
     let count = servers.len();
     let mut lanes = vec![Lane::Tight; count];
     if count < MIN_SERVERS {
         return lanes;
     }
     let tight: u32 = servers.iter().map(|server| server.load.tight).sum();
-    let any_long = has_waiting || servers.iter().any(|server| server.load.long > 0);
+    let any_long = demand.waits || servers.iter().any(|server| server.load.long > 0);
     let slots: u32 = servers.iter().map(|server| server.slots).sum();
     let per_server = f64::from(slots) / count as f64 * FILL_SHARE;
     let needed = (f64::from(tight) / per_server.max(1.0)).ceil() as usize + 1;
-    let ample = (f64::from(tight) / (per_server * SPARE_FILL_SHARE).max(1.0)).ceil() as usize + 1;
+    let fill = SPARE_FILL_SHARE + (1.0 - SPARE_FILL_SHARE) * demand.level;
+    let ample = (f64::from(tight) / (per_server * fill).max(1.0)).ceil() as usize + 1;
     let spare = ample.min(count.saturating_sub(MAX_LONG_SERVERS));
     let most = if any_long { count - 1 } else { count };
     let tight_servers = needed.max(spare).clamp(2, most);
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -34,6 +34,9 @@
 /// in ten long prompts it comes 0.3 to 0.6 s after its prediction.
 const SAFE_SHARE: f64 = 0.6;
 
+/// Share of the time for a first event from which a predicted one may be late.
+const AT_RISK: f64 = 0.6;
+
 /// Share of a request's value that is lost when it is late.
 const LATE_COST: f64 = 0.75;
 
@@ -56,6 +59,11 @@
     pub answer: u64,
     /// Time left within which the first event is on time.
     pub objective: Duration,
+    /// Time left until the deadline of the response.
+    pub left: Duration,
+    /// Levels by which its priority is below that of the most urgent route of its service. 0 where
+    /// all are equal.
+    pub priority_gap: u8,
     /// Longest allowed gap between events in milliseconds. 0: no limit.
     pub bound_ms: u32,
     /// Random number of the request, so that entries choosing among equal servers at the same
@@ -136,36 +144,92 @@
 
 /// Places a request on engines. `None`: none of them has enough free memory now.
 ///
-/// `has_waiting`: whether a long prompt waits for its turn on any entry.
+/// `demand`: of all entries.
 pub fn engine(
     engine: &model::Engine,
     need: &Need,
     servers: &[Server],
-    has_waiting: bool,
+    demand: lane::Demand,
 ) -> Option<Place> {
     if !is_long(engine, need) {
-        let lanes = lane::lanes(servers, has_waiting, lane::Sharing::Few);
+        let lanes = lane::lanes(servers, demand, lane::Sharing::Few);
         return short::find(engine, need, servers, &lanes);
     }
-    without_turn(engine, need, servers, has_waiting).or_else(|| by_turn(engine, need, servers))
+    without_turn(engine, need, servers, demand).or_else(|| by_turn(engine, need, servers, demand))
 }
 
 /// Places a long prompt that takes its turn. It avoids servers that write answers with tight gap
 /// limits if it is still on time then and other prompts can be read at the same time. On a narrower
 /// lane all servers are needed: with 23, leaving some out makes one in 25 long prompts miss its
 /// objective.
-fn by_turn(engine: &model::Engine, need: &Need, servers: &[Server]) -> Option<Place> {
+///
+/// Otherwise it is read where that costs least: apart from such answers, beside them, or there once
+/// they have ended.
+fn by_turn(
+    engine: &model::Engine,
+    need: &Need,
+    servers: &[Server],
+    demand: lane::Demand,
+) -> Option<Place> {
     // A prompt that has just arrived needs its lane as much as one that waits.
-    let lanes = lane::lanes(servers, true, lane::Sharing::None);
-    if long::is_wide(engine, need, &lanes) {
-        let without_tight = long::find(engine, need, servers, &lanes);
-        let without_tight = without_tight.filter(|place| place.is_surely_on_time(need.objective));
-        if without_tight.is_some() {
-            return without_tight;
-        }
+    let demand = lane::Demand {
+        waits: true,
+        ..demand
+    };
+    let lanes = lane::lanes(servers, demand, lane::Sharing::None);
+    let apart = long::find(engine, need, servers, &lanes);
+    if long::is_wide(engine, need, &lanes)
+        && let Some(place) = &apart
+        && place.is_surely_on_time(need.objective)
+    {
+        return apart;
     }
-    let lanes = lane::lanes(servers, true, lane::Sharing::Few);
-    long::find(engine, need, servers, &lanes)
+    let lanes = lane::lanes(servers, demand, lane::Sharing::Few);
+    let beside = long::find(engine, need, servers, &lanes);
+    // A prompt that is late already gains nothing by waiting.
+    let may_wait = !need.objective.is_zero();
+    let after = beside
+        .as_ref()
+        .filter(|place| may_wait && place.delay_ms <= 0.0)
+        .map(|place| after_writers(engine, need, place));
+    let gaps = |place: &Place| gap_costs(engine, servers, place);
+    let now = [apart, beside].into_iter().flatten();
+    let now = now.map(|place| (place_cost(engine, need, &place) + gaps(&place), place));
+    let after = after.map(|place| (place_cost(engine, need, &place), place));
+    let places = now.chain(after);
+    let least = places.min_by(|(one, _), (other, _)| one.total_cmp(other));
+    least.map(|(_, place)| place)
+}
+
+/// The same place once the answers that are written there now have ended.
+fn after_writers(engine: &model::Engine, need: &Need, place: &Place) -> Place {
+    let write_ms = engine.usual_answer as f64 * engine.step_ms(1, need.prompt);
+    Place {
+        first_ms: place.first_ms + write_ms,
+        delay_ms: write_ms,
+        ..place.clone()
+    }
+}
+
+/// Expected loss of value by a late first event.
+fn place_cost(engine: &model::Engine, need: &Need, place: &Place) -> f64 {
+    let (within, share) = if need.objective.is_zero() {
+        (need.left, 1.0 - LATE_COST)
+    } else {
+        (need.objective, LATE_COST)
+    };
+    let used = place.first_ms / (within.as_secs_f64() * 1e3).max(1.0);
+    let risk = ((used - AT_RISK) / (1.1 - AT_RISK)).clamp(0.0, 1.0);
+    // Each level of priority below the most urgent halves what a request may cost others.
+    let weight = 0.5_f64.powi(i32::from(need.priority_gap));
+    (0.05 * used.min(1.0) + share * risk) * value(engine, need.prompt) * weight
+}
+
+/// Cost of all segments of a place to the requests that are written where they are read.
+fn gap_costs(engine: &model::Engine, servers: &[Server], place: &Place) -> f64 {
+    let all = place.helpers.iter().chain([&place.writer]);
+    all.map(|at| gap_cost(engine, &servers[*at], place.segment_ms))
+        .sum()
 }
 
 /// Places a long prompt on servers that have capacity to read while they write, if there are
@@ -174,9 +238,9 @@
     engine: &model::Engine,
     need: &Need,
     servers: &[Server],
-    has_waiting: bool,
+    demand: lane::Demand,
 ) -> Option<Place> {
-    let lanes = lane::lanes(servers, has_waiting, lane::Sharing::Few);
+    let lanes = lane::lanes(servers, demand, lane::Sharing::Few);
     split::find(engine, need, servers, &lanes)
 }
 
--- a/src/direct/place/long.rs
+++ b/src/direct/place/long.rs
@@ -44,6 +44,7 @@
     place::sort_by_busy(need, servers, &mut order);
     let busy: Vec<f64> = order.iter().map(|at| turn_ms(&servers[*at])).collect();
     order.truncate(width(engine, need, &busy));
+    leave_out_slow(servers, &mut order);
     let mut order = without_writers(engine, need, servers, order);
     let writers = lane::of(lanes, Lane::Write);
     let writer = writer(engine, need, servers, &order, &writers)?;
@@ -204,14 +205,43 @@
 
 /// Number of the lane's servers that read a prompt. `busy`: milliseconds until each is free,
 /// ascending.
+///
+/// If fewer are free than the prompt is given on an idle lane, it is read on those at once where it
+/// is still on time: a prompt that waited for 16 servers kept up to 15 idle meanwhile.
 fn width(engine: &model::Engine, need: &place::Need, busy: &[f64]) -> usize {
     let min_width = min_width(engine, need);
-    if busy.len() >= min_width * MIN_PARALLEL {
+    let is_wide = busy.len() >= min_width * MIN_PARALLEL;
+    let free = busy.partition_point(|ms| *ms < NEARLY_FREE_MS);
+    let free = free.min(place::MAX_WIDTH);
+    if is_wide && free >= min_width {
+        return min_width;
+    }
+    let within = if need.objective.is_zero() {
+        need.left
+    } else {
+        need.objective
+    };
+    let within_ms = within.as_secs_f64() * 1e3 * place::SAFE_SHARE;
+    if free > 0 && engine.read_ms(need.prompt, free) <= within_ms {
+        return free;
+    }
+    if is_wide {
         return min_width;
     }
     soonest(busy, engine.read_ms(need.prompt, 1))
 }
 
+/// Leaves out servers so slow that the prompt would be read sooner without them: its segments are
+/// even, so the slowest server ends last.
+fn leave_out_slow(servers: &[place::Server], order: &mut Vec<usize>) {
+    order.sort_by(|one, other| servers[*one].pace.total_cmp(&servers[*other].pace));
+    let end =
+        |count: usize, order: &[usize]| servers[order[count - 1]].pace.max(1.0) / count as f64;
+    let least =
+        (1..=order.len()).min_by(|one, other| end(*one, order).total_cmp(&end(*other, order)));
+    order.truncate(least.unwrap_or(0));
+}
+
 /// Number of servers on which a prompt is read soonest, if all start when the last of them is free.
 /// `busy`: milliseconds until each is free, ascending.
 fn soonest(busy: &[f64], alone_ms: f64) -> usize {
--- a/src/direct/place/short.rs
+++ b/src/direct/place/short.rs
@@ -12,9 +12,6 @@
 /// segment would starve under load: one prompt predicted at 0.7 s took 12 s.
 const SEGMENT_MS: f64 = 70.0;
 
-/// Share of the objective from which a predicted first event may be late.
-const AT_RISK: f64 = 0.6;
-
 /// Cost of writing with a tight gap limit on a server of another lane.
 const OTHER_LANE_COST: f64 = 0.35;
 
@@ -131,7 +128,7 @@
 /// Expected loss by a first event after `first_ms`, as a share of a request's value.
 fn lateness(first_ms: f64, objective: Duration) -> f64 {
     let share = first_ms / (objective.as_secs_f64() * 1e3).max(1.0);
-    let risk = ((share - AT_RISK) / (1.1 - AT_RISK)).clamp(0.0, 1.0);
+    let risk = ((share - place::AT_RISK) / (1.1 - place::AT_RISK)).clamp(0.0, 1.0);
     0.05 * share + place::LATE_COST * risk
 }
 
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -23,6 +23,7 @@
 use crate::direct::congestion;
 use crate::direct::gossip;
 use crate::direct::health;
+use crate::direct::lane;
 use crate::direct::load;
 use crate::direct::membership;
 use crate::direct::part;
@@ -120,10 +121,12 @@
 }
 
 impl State {
-    /// Samples whether a long prompt waits now.
-    pub fn observe_congestion(&mut self, now: Duration) {
+    /// Samples whether a long prompt waits now. Returns the demand for the reading of long prompts.
+    pub fn observe_demand(&mut self, now: Duration) -> lane::Demand {
         let waits = self.loads.has_waiting(now);
         self.congestion.observe(now, waits);
+        let level = self.congestion.level();
+        lane::Demand { waits, level }
     }
 }
 
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -14,6 +14,7 @@
 use super::progress;
 use super::turn;
 use crate::direct::deadline;
+use crate::direct::lane;
 use crate::direct::load;
 use crate::direct::place;
 use crate::direct::place::single;
@@ -107,10 +108,10 @@
             return Choice::NoServer;
         }
         let servers = self.servers(&mut state, now, &records, subset);
-        let has_waiting = state.loads.has_waiting(now);
+        let demand = state.observe_demand(now);
         let placed = match reading {
-            Reading::InTurn => find(context, &servers, has_waiting),
-            Reading::WithoutTurn => find_without_turn(context, &servers, has_waiting),
+            Reading::InTurn => find(context, &servers, demand),
+            Reading::WithoutTurn => find_without_turn(context, &servers, demand),
         };
         let Some(place) = placed else {
             return Choice::NeedsCapacity;
@@ -221,10 +222,10 @@
             return false;
         }
         let servers = self.servers(&mut state, now, &records, subset);
-        let has_waiting = state.loads.has_waiting(now);
+        let demand = state.observe_demand(now);
         let writing = context.write_time_bound(&state.writing);
         drop(state);
-        let place = find(context, &servers, has_waiting);
+        let place = find(context, &servers, demand);
         let is_better = place.is_some_and(|place| {
             place.is_worth_moving(context.route.objective)
                 && context.completes_before_exit(place.first_ms, writing)
@@ -272,7 +273,7 @@
         let now = self.node.now();
         let objective = context.route.objective;
         let mut state = self.state();
-        state.observe_congestion(now);
+        state.observe_demand(now);
         let servers = state.register.ready(now, &context.service).count();
         let rejection = state
             .congestion
@@ -417,14 +418,18 @@
 fn find_without_turn(
     context: &Context,
     servers: &[place::Server],
-    has_waiting: bool,
+    demand: lane::Demand,
 ) -> Option<place::Place> {
     let engine = context.engine.as_ref()?;
-    place::without_turn(engine, &context.need(), servers, has_waiting)
+    place::without_turn(engine, &context.need(), servers, demand)
 }
 
 /// Finds a place for a request on `servers`.
-fn find(context: &Context, servers: &[place::Server], has_waiting: bool) -> Option<place::Place> {
+fn find(
+    context: &Context,
+    servers: &[place::Server],
+    demand: lane::Demand,
+) -> Option<place::Place> {
     let alone = |first: usize, first_ms: f64| place::Place {
         first_ms,
         segment_ms: first_ms,
@@ -434,7 +439,7 @@
         return place::plain(servers, context.need().draw).map(|at| alone(at, 0.0));
     };
     let need = context.need();
-    let placed = place::engine(engine, &need, servers, has_waiting);
+    let placed = place::engine(engine, &need, servers, demand);
     // As far as known here, no server has memory. A short prompt is sent all the same: the server
     // decides by its actual memory.
     let is_short = size.prompt <= engine.usual_prompt;
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -39,6 +39,8 @@
     pub homes: home::Homes,
     /// Priority, 0 first.
     pub priority: u8,
+    /// Levels by which it is below the most urgent route of its service.
+    pub priority_gap: u8,
     /// When the request arrived.
     pub began: Instant,
     pub deadline: Instant,
@@ -159,6 +161,8 @@
             prompt: self.request.size.map_or(0, |size| size.prompt),
             answer: self.expected_answer(),
             objective: self.route.objective.saturating_sub(self.began.elapsed()),
+            left: self.time_left(),
+            priority_gap: self.priority_gap,
             bound_ms: self
                 .route
                 .max_pause
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -220,7 +220,7 @@
 
     fn greet(&mut self) {
         let now = self.direct.node.now();
-        self.direct.state().observe_congestion(now);
+        self.direct.state().observe_demand(now);
         self.round += 1;
         self.remove_silent_peers(now);
         let settings = self.direct.node.settings();
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -177,8 +177,11 @@
         let began = progress.lock().began;
         progress.lock().deadline = Some(began + limit);
         let priority = workspace.and_then(|workspace| workspace.priority);
+        let priority = priority.unwrap_or(route.priority);
+        let most_urgent = catalog.most_urgent(&service);
         Ok(Context {
-            priority: priority.unwrap_or(route.priority),
+            priority,
+            priority_gap: priority.saturating_sub(most_urgent),
             route: route.clone(),
             request,
             head,
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -30,6 +30,8 @@
         prompt,
         answer: 1_200,
         objective: Duration::from_millis(300),
+        left: Duration::from_secs(10),
+        priority_gap: 0,
         bound_ms: 250,
         draw: 1,
     }
@@ -38,6 +40,7 @@
 pub fn long(prompt: u64) -> Need {
     Need {
         objective: Duration::from_secs(4),
+        left: Duration::from_secs(15),
         bound_ms: 1_000,
         ..short(prompt)
     }
