Calls that may not be repeated avoid servers that lost one

Cause: a plain server that hung while its reports were good got ten further calls within 5.7 s, each lost at its route's timeout; one that went up and down by turns lost the next call after each pause. Change: a call without any answer for two objectives makes all entries avoid its server, as one that breaks off does; for 6 s more, or until it answers, only calls that may be repeated go there while there are other servers.

--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -25,6 +25,11 @@
 /// Least failure rate that is reported; a lower one counts as 0.
 const MIN_FAILURE_RATE: f64 = 0.25;
 
+/// How long calls that may not be repeated avoid a server after it could not be reached or lost one,
+/// unless it answers before. One that goes up and down by turns, or that hangs while its reports are
+/// good, loses one such call after each pause otherwise.
+const DOUBT: Duration = Duration::from_secs(6);
+
 /// Time constant of the failure rate's exponential decay.
 const FAILURE_DECAY: Duration = Duration::from_secs(8);
 
@@ -32,6 +37,8 @@
 struct Server {
     /// Consecutive failures to reach it.
     unreachable: u32,
+    /// When it last could not be reached.
+    unreachable_at: Duration,
     /// Consecutive rejections.
     rejected: u32,
     /// It is sent no new requests before this time.
@@ -55,6 +62,7 @@
     pub fn record_unreachable(&mut self, now: Duration, instance: &register::Instance) -> Duration {
         let server = self.by_instance.entry(instance.clone()).or_default();
         server.unreachable = (server.unreachable + 1).min(8);
+        server.unreachable_at = now;
         let pause = FIRST_PAUSE * 2u32.saturating_pow(server.unreachable - 1);
         server.paused_until = now + pause.min(MAX_PAUSE);
         server.paused_until
@@ -103,6 +111,13 @@
             .is_some_and(|server| now < server.paused_until)
     }
 
+    /// Whether a server could not be reached, or lost a call, and has not answered since.
+    pub fn is_doubted(&self, now: Duration, instance: &register::Instance) -> bool {
+        self.by_instance
+            .get(instance)
+            .is_some_and(|server| server.unreachable > 0 && now < server.unreachable_at + DOUBT)
+    }
+
     /// Rate of failed responses, from 0 to 1; 0 if it is less than [`MIN_FAILURE_RATE`].
     pub fn failure_rate(&self, now: Duration, instance: &register::Instance) -> f64 {
         let rate = self
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -38,6 +38,9 @@
 /// closed it already, and then it is not known whether the request ran.
 const REUSE_FOR_UNSAFE: bool = false;
 
+/// Objectives after which a call counts as unanswered. One that is only late comes back within two.
+const UNANSWERED_OBJECTIVES: u32 = 2;
+
 /// Pause between two checks whether the response comes before this process exits.
 const EXIT_POLL: Duration = Duration::from_millis(100);
 
@@ -275,12 +278,24 @@
             timeouts,
             head_received,
         } = sent;
+        let unanswered = time::sleep(unanswered_after(context));
+        tokio::pin!(unanswered);
+        // One that may be repeated leaves its server instead.
+        let mut is_answered = !context.is_call() || context.route.repeatable();
         loop {
             let answered = tokio::select! {
                 biased;
                 answered = &mut attempt.answering => answered,
                 // The server works at it: the timeouts begin anew.
-                () = head_received.notified() => continue,
+                () = head_received.notified() => {
+                    is_answered = true;
+                    continue;
+                }
+                () = &mut unanswered, if !is_answered => {
+                    is_answered = true;
+                    self.pause_server_everywhere(&attempt.server.life, "a call has no answer");
+                    continue;
+                }
                 cause = self.left(context, &attempt.server, timeouts) => {
                     return pending::Outcome::Left(cause, attempt);
                 }
@@ -463,7 +478,7 @@
                 "tried" => context.history.tried, "left_ms" => context.time_left().as_millis() as u64);
         }
         if retry::suspects_server(&context.route, cause) {
-            self.pause_server_everywhere(&server.life);
+            self.pause_server_everywhere(&server.life, "a call broke off that may not be repeated");
         }
         if suspect::may_have_crashed(cause) {
             self.check_after_disconnect(suspicion::Run::new(context), server.clone());
@@ -474,6 +489,9 @@
                 self.pause_server(&server.life, "silent");
                 self.watch_silence(suspicion::Run::new(context), server);
             }
+            retry::Failure::Slow if context.is_call() => {
+                self.pause_server_everywhere(&server.life, "a call has no answer");
+            }
             retry::Failure::Slow | retry::Failure::Failed => {
                 self.state()
                     .healths
@@ -502,6 +520,12 @@
     }
 }
 
+/// Time after which a call without any answer makes all entries avoid its server. A server may hang
+/// while its reports are good, and each further call to it would be lost too.
+fn unanswered_after(context: &Context) -> Duration {
+    context.route.objective * UNANSWERED_OBJECTIVES
+}
+
 /// How long the server may be silent before an attempt probes it or leaves it.
 fn silence_timeouts(context: &Context, first_ms: f64) -> deadline::Silence {
     let alone = context.engine.zip(context.request.size);
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -64,6 +64,11 @@
 }
 
 impl Context {
+    /// Whether it is a call: its response is not a stream of events.
+    pub fn is_call(&self) -> bool {
+        self.route.kind != catalog::Kind::Stream
+    }
+
     /// Time until its deadline or the exit of this process, whichever comes first.
     pub fn time_left(&self) -> Duration {
         let own = self.caller_time_left();
--- a/src/edge/direct/eligibility.rs
+++ b/src/edge/direct/eligibility.rs
@@ -176,7 +176,8 @@
     all.into_iter().map(|(record, _)| record.clone()).collect()
 }
 
-/// Whether a server was heard recently, is not paused, and did not fail this request before.
+/// Whether a server was heard recently, is not paused, and did not fail this request before. A call
+/// that may not be repeated is lost with its server, so it avoids doubted ones too.
 fn is_healthy(
     state: &super::State,
     now: Duration,
@@ -185,5 +186,9 @@
     age: Duration,
 ) -> bool {
     let has_not_failed = !context.failed_servers.contains(&server.life);
-    age < HEARTBEAT_TIMEOUT && has_not_failed && !state.healths.is_paused(now, &server.life)
+    let is_lost_with_server = context.is_call() && !context.route.repeatable();
+    age < HEARTBEAT_TIMEOUT
+        && has_not_failed
+        && !state.healths.is_paused(now, &server.life)
+        && !(is_lost_with_server && state.healths.is_doubted(now, &server.life))
 }
--- a/src/edge/direct/health_check.rs
+++ b/src/edge/direct/health_check.rs
@@ -82,8 +82,8 @@
 
 impl Direct {
     /// Sends nothing new to a server for a while, and has all other entries do the same.
-    pub(super) fn pause_server_everywhere(&self, server: &register::Instance) {
-        self.pause_server(server, "a call broke off that may not be repeated");
+    pub(super) fn pause_server_everywhere(&self, server: &register::Instance, cause: &str) {
+        self.pause_server(server, cause);
         let key = load::server_key(server);
         self.broadcast(gossip::Message::Paces(vec![(key, UNRESPONSIVE)]));
     }
