--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -37,6 +37,10 @@
 /// Share of the time for a first event from which a predicted one may be late.
 const AT_RISK: f64 = 0.6;
 
+/// The same for a long prompt: nine in ten first events come within a tenth of the objective after
+/// their prediction.
+const LONG_AT_RISK: f64 = 0.8;
+
 /// Share of a request's value that is lost when it is late.
 const LATE_COST: f64 = 0.75;
 
@@ -137,6 +141,12 @@
     }
 }
 
+/// Whether two prompts can be read at once on as many servers as one may take. On fewer servers all
+/// are needed for each, and prompts are best read one after the other.
+fn is_wide(servers: &[Server]) -> bool {
+    servers.len() >= 2 * MAX_WIDTH
+}
+
 /// Whether a prompt is so long that it takes a turn on the whole reading lane.
 pub fn is_long(engine: &model::Engine, need: &Need) -> bool {
     !need.is_tight() && engine.read_ms(need.prompt, 1) >= LONG_MS
@@ -163,8 +173,8 @@
 /// lane all servers are needed: with 23, leaving some out makes one in 25 long prompts miss its
 /// objective.
 ///
-/// Otherwise it is read where that costs least: apart from such answers, beside them, or there once
-/// they have ended.
+/// Otherwise it is read beside a few of them; on a wide fleet where that costs least: apart from such
+/// answers, beside them, or there once they have ended.
 fn by_turn(
     engine: &model::Engine,
     need: &Need,
@@ -186,6 +196,9 @@
     }
     let lanes = lane::lanes(servers, demand, lane::Sharing::Few);
     let beside = long::find(engine, need, servers, &lanes);
+    if !is_wide(servers) {
+        return beside;
+    }
     // A prompt that is late already gains nothing by waiting.
     let may_wait = !need.objective.is_zero();
     let after = beside
@@ -219,7 +232,7 @@
         (need.objective, LATE_COST)
     };
     let used = place.first_ms / (within.as_secs_f64() * 1e3).max(1.0);
-    let risk = ((used - AT_RISK) / (1.1 - AT_RISK)).clamp(0.0, 1.0);
+    let risk = ((used - LONG_AT_RISK) / (1.1 - LONG_AT_RISK)).clamp(0.0, 1.0);
     // Each level of priority below the most urgent halves what a request may cost others.
     let weight = 0.5_f64.powi(i32::from(need.priority_gap));
     (0.05 * used.min(1.0) + share * risk) * value(engine, need.prompt) * weight
--- a/src/direct/place/long.rs
+++ b/src/direct/place/long.rs
@@ -43,11 +43,18 @@
     }
     place::sort_by_busy(need, servers, &mut order);
     let busy: Vec<f64> = order.iter().map(|at| turn_ms(&servers[*at])).collect();
-    order.truncate(width(engine, need, &busy));
+    let is_wide = place::is_wide(servers);
+    order.truncate(width(engine, need, &busy, is_wide));
     leave_out_slow(servers, &mut order);
     let mut order = without_writers(engine, need, servers, order);
     let writers = lane::of(lanes, Lane::Write);
-    let writer = writer(engine, need, servers, &order, &writers)?;
+    // One that still reads would make the prompt wait although others are free.
+    let idle = writers.iter().copied();
+    let idle: Vec<usize> = idle
+        .filter(|at| !is_wide || servers[*at].load.long == 0)
+        .collect();
+    let writer = writer(engine, need, servers, &order, &idle)
+        .or_else(|| writer(engine, need, servers, &order, &writers))?;
     order.retain(|at| *at != writer);
     order.truncate(place::MAX_WIDTH - 1);
     let helpers = order.clone();
@@ -206,14 +213,14 @@
 /// Number of the lane's servers that read a prompt. `busy`: milliseconds until each is free,
 /// ascending.
 ///
-/// If fewer are free than the prompt is given on an idle lane, it is read on those at once where it
-/// is still on time: a prompt that waited for 16 servers kept up to 15 idle meanwhile.
-fn width(engine: &model::Engine, need: &place::Need, busy: &[f64]) -> usize {
+/// If fewer are free than the prompt is given on an idle lane of a wide fleet, it is read on those at
+/// once where it is still on time: one that waited for 16 servers kept up to 15 idle meanwhile.
+fn width(engine: &model::Engine, need: &place::Need, busy: &[f64], is_wide_fleet: bool) -> usize {
     let min_width = min_width(engine, need);
     let is_wide = busy.len() >= min_width * MIN_PARALLEL;
     let free = busy.partition_point(|ms| *ms < NEARLY_FREE_MS);
     let free = free.min(place::MAX_WIDTH);
-    if is_wide && free >= min_width {
+    if is_wide && (free >= min_width || !is_wide_fleet) {
         return min_width;
     }
     let within = if need.objective.is_zero() {
@@ -222,7 +229,7 @@
         need.objective
     };
     let within_ms = within.as_secs_f64() * 1e3 * place::SAFE_SHARE;
-    if free > 0 && engine.read_ms(need.prompt, free) <= within_ms {
+    if is_wide_fleet && free > 0 && engine.read_ms(need.prompt, free) <= within_ms {
         return free;
     }
     if is_wide {
