Deadlines: answers with little slack are placed, moved and rejected by it

Cause: a short prompt was placed by its first event alone, so answers with little time left went to servers that write slowly. A stream waited 1.5 s or five gap limits at a stalled server, however little time was left. A request that no server could complete in time ran until its deadline.

Change: the cost of a place includes the risk that the answer is cut off at its deadline, from the write time at that server, its pace, and the mean ratio of written to modelled time. A silence is tolerated for at most half of the slack, not less than two gap limits. A request that idle servers could not complete with half of the caller's estimate is rejected as not run (cause Infeasible), and does not move for the same reason. A stream is not resumed at a server that could not be reached.

--- a/src/direct/deadline.rs
+++ b/src/direct/deadline.rs
@@ -60,6 +60,14 @@
 /// The same in gaps that are still on time. A prompt that moves is read again from the start.
 const STALL_GAPS: u32 = 5;
 
+/// A silence is tolerated for the slack of its answer divided by this: the rest of the slack remains
+/// for reading the prompt again at another server.
+const SLACK_DIVISOR: u32 = 2;
+
+/// Gap limits for which a silence is tolerated, however little slack there is. Gaps within the limit
+/// are usual where segments of long prompts are read beside writers.
+const MIN_SILENCE_GAPS: u32 = 2;
+
 /// A request may wait for a grant for the time until its caller abandons it, divided by this.
 const GRANT_DIVISOR: u32 = 8;
 
@@ -123,6 +131,15 @@
         self.until_deadline > complete && self.until_abandoned > first
     }
 
+    /// Whether a response of `tokens` would be complete by the deadline on idle servers: its prompt
+    /// read by as many as possible, and nothing else written. No server can be faster.
+    pub fn can_end(&self, engine: &model::Engine, prompt: u64, tokens: u64) -> bool {
+        let context = prompt.min(engine.memory_tokens);
+        let writing = engine.write_time(tokens, 1, context);
+        let reading = millis(engine.read_ms(prompt, place::MAX_WIDTH));
+        self.until_deadline > reading.saturating_add(writing)
+    }
+
     /// Whether a request without a time model would be answered in time if it were sent after `wait`.
     pub fn allows_plain(&self, wait: Duration, is_stream: bool) -> bool {
         let patience = if is_stream {
@@ -176,6 +193,32 @@
     millis(engine.read_ms(need.prompt, place::MAX_WIDTH))
 }
 
+/// What is left of an answer, and of the time for it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Rest {
+    /// Time until the deadline.
+    pub left: Duration,
+    /// Expected time to write the rest of the answer.
+    pub writing: Duration,
+}
+
+impl Rest {
+    /// Time by which the answer may be delayed and still be complete at its deadline.
+    pub fn slack(self) -> Duration {
+        self.left.saturating_sub(self.writing)
+    }
+
+    /// Silence that is tolerated of the server of this answer: `usual`, or half of the slack if that
+    /// is shorter. Without a gap limit no silence is known to be unusual before a probe is due.
+    fn silence(self, route: &catalog::Route, usual: Duration) -> Duration {
+        let least = route
+            .max_pause
+            .map_or(PROBE_AFTER, |gap| gap * MIN_SILENCE_GAPS)
+            .max(MIN_MOVE_AFTER);
+        usual.min(least.max(self.slack() / SLACK_DIVISOR))
+    }
+}
+
 /// How long an attempt tolerates silence of its server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Silence {
@@ -187,19 +230,27 @@
 
 impl Silence {
     /// Limits for an attempt whose first event is predicted after `first_ms`, whose prompt takes
-    /// `alone_ms` to read on one server, and that has `left` until its deadline.
+    /// `alone_ms` to read on one server, and whose answer is still to be written.
     pub fn new(
         route: &catalog::Route,
         can_move: bool,
         (first_ms, alone_ms): (f64, f64),
-        left: Duration,
+        answer: Rest,
     ) -> Self {
+        let left = answer.left;
         let predicted = millis(first_ms);
         let (probe_after, move_after) = match route.kind {
-            catalog::Kind::Stream => (
-                PROBE_AFTER.max(predicted),
-                MOVE_AFTER + predicted + millis(alone_ms * MOVE_READS),
-            ),
+            catalog::Kind::Stream => {
+                let usual = MOVE_AFTER + millis(alone_ms * MOVE_READS);
+                let after_first = Rest {
+                    left: left.saturating_sub(predicted),
+                    ..answer
+                };
+                (
+                    PROBE_AFTER.max(predicted),
+                    predicted.saturating_add(after_first.silence(route, usual)),
+                )
+            }
             catalog::Kind::Safe | catalog::Kind::Unsafe => (route.objective, route.objective * 2),
         };
         let move_after = if can_move { move_after.min(left) } else { left };
@@ -211,10 +262,10 @@
 }
 
 /// Silence between two events of a stream after which it moves to another server although its own
-/// answers probes.
-pub fn stall_timeout(route: &catalog::Route) -> Duration {
+/// answers probes. `answer`: what is left of it.
+pub fn stall_timeout(route: &catalog::Route, answer: Rest) -> Duration {
     let gaps = route.max_pause.unwrap_or_default() * STALL_GAPS;
-    gaps.max(STALL_TIMEOUT)
+    answer.silence(route, gaps.max(STALL_TIMEOUT))
 }
 
 /// Converts milliseconds to a duration, at least 0 and at most the longest that a `Duration` holds.
--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -103,6 +103,14 @@
             .is_some_and(|server| now < server.paused_until)
     }
 
+    /// Whether a server is currently sent no new requests because it could not be reached or
+    /// crashed.
+    pub fn is_unreachable(&self, now: Duration, instance: &register::Instance) -> bool {
+        self.by_instance
+            .get(instance)
+            .is_some_and(|server| server.unreachable > 0 && now < server.paused_until)
+    }
+
     /// Rate of failed responses, from 0 to 1; 0 if it is less than [`MIN_FAILURE_RATE`].
     pub fn failure_rate(&self, now: Duration, instance: &register::Instance) -> f64 {
         let rate = self
--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -57,10 +57,15 @@
     pub prompt: u64,
     /// Expected length of the answer in tokens.
     pub answer: u64,
+    /// Tokens of the answer that were written before, at a server that the stream has left.
+    pub written: u64,
     /// Time left within which the first event is on time.
     pub objective: Duration,
     /// Time left until the deadline of the response.
     pub left: Duration,
+    /// Mean ratio of the time that answers of its service lately took to be written to the modelled
+    /// time, see [`super::writing`].
+    pub write_ratio: f64,
     /// Levels by which its priority is below that of the most urgent route of its service. 0 where
     /// all are equal.
     pub priority_gap: u8,
--- a/src/direct/place/short.rs
+++ b/src/direct/place/short.rs
@@ -57,7 +57,7 @@
         } else {
             OTHER_LANE_COST * value
         };
-        let cost = lateness(first_ms, need.objective) * value
+        let cost = loss(engine, need, server, first_ms) * value
             + place::gap_cost(engine, server, segment_ms)
             + place::fixed_cost(server)
             + lane_cost;
@@ -125,6 +125,31 @@
     place::queue_ms(engine, need, server) + (wait_ms + reading_ms + pass_ms) * server.pace.max(1.0)
 }
 
+/// Expected loss if a request is placed at `server` and its first event comes after `first_ms`, as a
+/// share of its value. An answer that is cut off at its deadline is worth nothing, a late one a part
+/// of its value.
+fn loss(engine: &model::Engine, need: &place::Need, server: &place::Server, first_ms: f64) -> f64 {
+    let late = lateness(first_ms, need.objective);
+    let cut = cut_risk(need, first_ms + write_ms(engine, need, server));
+    late + cut * (1.0 - late).max(0.0)
+}
+
+/// Expected milliseconds to write the rest of the answer at a server, beside all that is written there.
+fn write_ms(engine: &model::Engine, need: &place::Need, server: &place::Server) -> f64 {
+    let load = &server.load;
+    let context = (load.context + need.prompt).min(engine.memory_tokens);
+    let step_ms = engine.step_ms(load.writers + 1, context);
+    let rest = need.answer.saturating_sub(need.written);
+    rest as f64 * step_ms * server.pace.max(1.0) * need.write_ratio
+}
+
+/// Risk that an answer that is expected to be complete after `whole_ms` is cut off at its deadline.
+/// 0 if its slack is ample: then it does not matter where it is written.
+fn cut_risk(need: &place::Need, whole_ms: f64) -> f64 {
+    let share = whole_ms / (need.left.as_secs_f64() * 1e3).max(1.0);
+    ((share - place::AT_RISK) / (1.1 - place::AT_RISK)).clamp(0.0, 1.0)
+}
+
 /// Expected loss by a first event after `first_ms`, as a share of a request's value.
 fn lateness(first_ms: f64, objective: Duration) -> f64 {
     let share = first_ms / (objective.as_secs_f64() * 1e3).max(1.0);
--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -21,6 +21,8 @@
     Withdrawn,
     /// Not sent: a helper server did not reserve memory for its segment of the prompt.
     Unreserved(register::Instance),
+    /// Not sent: even idle servers could not complete it by its deadline.
+    Infeasible,
     /// Not sent: all servers are in evacuated zones or outside the request's home regions.
     Excluded,
     /// The server says that it did not run the request.
@@ -57,6 +59,7 @@
                 | Self::Unsent
                 | Self::Withdrawn
                 | Self::Unreserved(_)
+                | Self::Infeasible
                 | Self::Excluded
                 | Self::NotRun { .. }
                 | Self::Suspect
@@ -152,6 +155,7 @@
         Failure::Away
             | Failure::Limited(_)
             | Failure::Paused(_)
+            | Failure::Infeasible
             | Failure::Excluded
             | Failure::Suspect
             | Failure::Late
--- a/src/direct/writing.rs
+++ b/src/direct/writing.rs
@@ -47,6 +47,11 @@
         known.deviation += (difference.abs() - known.deviation) * WEIGHT;
     }
 
+    /// Mean ratio of the time that answers of `service` took to the modelled time.
+    pub fn mean_ratio(&self, service: &str) -> f64 {
+        self.ratio(service).mean
+    }
+
     /// Mean time to write an answer of `service` for which the model gives `expected`.
     pub fn mean(&self, service: &str, expected: Duration) -> Duration {
         expected.mul_f64(self.ratio(service).mean)
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -241,7 +241,8 @@
         if !self.may_run(context) {
             return Err(retry::Failure::Suspect);
         }
-        let timeouts = silence_timeouts(context, assignment.first_ms);
+        let answer = context.rest(&self.state().writing);
+        let timeouts = silence_timeouts(context, assignment.first_ms, answer);
         progress.reach(progress::Stage::Sent);
         // It may run from now on, also if this attempt is dropped.
         context.history.ran += 1;
@@ -494,6 +495,7 @@
             | retry::Failure::Paused(_)
             | retry::Failure::Withdrawn
             | retry::Failure::Unreserved(_)
+            | retry::Failure::Infeasible
             | retry::Failure::Excluded
             | retry::Failure::Suspect
             | retry::Failure::Late
@@ -503,17 +505,12 @@
 }
 
 /// How long the server may be silent before an attempt probes it or leaves it.
-fn silence_timeouts(context: &Context, first_ms: f64) -> deadline::Silence {
+fn silence_timeouts(context: &Context, first_ms: f64, answer: deadline::Rest) -> deadline::Silence {
     let alone = context.engine.zip(context.request.size);
     let alone_ms = alone.map_or(0.0, |(engine, size)| engine.read_ms(size.prompt, 1));
     let can_move =
         context.route.repeatable() && context.history.ran + 1 < context.route.max_servers.max(1);
-    deadline::Silence::new(
-        &context.route,
-        can_move,
-        (first_ms, alone_ms),
-        context.time_left(),
-    )
+    deadline::Silence::new(&context.route, can_move, (first_ms, alone_ms), answer)
 }
 
 /// Reads a response: all of it, or the first events of a stream.
@@ -555,6 +552,7 @@
         retry::Failure::Unsent => "unsent",
         retry::Failure::Withdrawn => "withdrawn",
         retry::Failure::Unreserved(_) => "unreserved",
+        retry::Failure::Infeasible => "infeasible",
         retry::Failure::Excluded => "excluded",
         retry::Failure::NotRun { .. } => "not_run",
         retry::Failure::Broken => "broken",
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -109,9 +109,10 @@
         }
         let servers = self.servers(&mut state, now, &records, subset);
         let demand = state.observe_demand(now);
+        let need = context.need_by(&state.writing);
         let placed = match reading {
-            Reading::InTurn => find(context, &servers, demand),
-            Reading::WithoutTurn => find_without_turn(context, &servers, demand),
+            Reading::InTurn => find(context, &need, &servers, demand),
+            Reading::WithoutTurn => find_without_turn(context, &need, &servers, demand),
         };
         let Some(place) = placed else {
             return Choice::NeedsCapacity;
@@ -224,8 +225,9 @@
         let servers = self.servers(&mut state, now, &records, subset);
         let demand = state.observe_demand(now);
         let writing = context.write_time_bound(&state.writing);
+        let need = context.need_by(&state.writing);
         drop(state);
-        let place = find(context, &servers, demand);
+        let place = find(context, &need, &servers, demand);
         let is_better = place.is_some_and(|place| {
             place.is_worth_moving(context.route.objective)
                 && context.completes_before_exit(place.first_ms, writing)
@@ -303,6 +305,9 @@
         context: &Context,
     ) -> Result<Assignment, retry::Failure> {
         context.progress.reach(progress::Stage::Waiting);
+        if is_infeasible(context) {
+            return Err(retry::Failure::Infeasible);
+        }
         let is_long = context
             .engine
             .is_some_and(|engine| place::is_long(&engine, &context.need()));
@@ -403,6 +408,11 @@
     }
 }
 
+/// Whether a request that has not been tried yet cannot be complete by its deadline on any server.
+fn is_infeasible(context: &Context) -> bool {
+    context.history.tried == 0 && !context.can_still_end()
+}
+
 /// Pause between two searches for a server that is not full. Requests that are late already search
 /// less often, so that free capacity goes to those that can still be on time.
 fn full_pause(context: &Context) -> Duration {
@@ -417,16 +427,18 @@
 /// responses.
 fn find_without_turn(
     context: &Context,
+    need: &place::Need,
     servers: &[place::Server],
     demand: lane::Demand,
 ) -> Option<place::Place> {
     let engine = context.engine.as_ref()?;
-    place::without_turn(engine, &context.need(), servers, demand)
+    place::without_turn(engine, need, servers, demand)
 }
 
 /// Finds a place for a request on `servers`.
 fn find(
     context: &Context,
+    need: &place::Need,
     servers: &[place::Server],
     demand: lane::Demand,
 ) -> Option<place::Place> {
@@ -436,15 +448,14 @@
         ..single::plain(first)
     };
     let (Some(engine), Some(size)) = (&context.engine, context.request.size) else {
-        return place::plain(servers, context.need().draw).map(|at| alone(at, 0.0));
+        return place::plain(servers, need.draw).map(|at| alone(at, 0.0));
     };
-    let need = context.need();
-    let placed = place::engine(engine, &need, servers, demand);
+    let placed = place::engine(engine, need, servers, demand);
     // As far as known here, no server has memory. A short prompt is sent all the same: the server
     // decides by its actual memory.
     let is_short = size.prompt <= engine.usual_prompt;
     placed.or_else(|| {
-        let at = place::plain(servers, context.need().draw).filter(|_| is_short)?;
+        let at = place::plain(servers, need.draw).filter(|_| is_short)?;
         Some(alone(at, engine.read_ms(size.prompt, 1)))
     })
 }
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -90,11 +90,43 @@
         let (Some(engine), Some(size)) = (&self.engine, self.request.size) else {
             return Duration::ZERO;
         };
-        let written = u64::from(self.progress.lock().events) * u64::from(engine.stride);
-        let rest = self.expected_answer().saturating_sub(written);
+        let rest = self.expected_answer().saturating_sub(self.written());
         deadline::write_time(engine, size.prompt, rest)
     }
 
+    /// Whether events of its response were passed on.
+    pub fn is_resuming(&self) -> bool {
+        self.progress.lock().events > 0
+    }
+
+    /// Tokens of its response that were passed on.
+    fn written(&self) -> u64 {
+        let stride = self.engine.map_or(0, |engine| u64::from(engine.stride));
+        u64::from(self.progress.lock().events) * stride
+    }
+
+    /// What is left of its response, and of the time for it.
+    pub fn rest(&self, known: &writing::Writing) -> deadline::Rest {
+        deadline::Rest {
+            left: self.time_left(),
+            writing: self.mean_write_time(known),
+        }
+    }
+
+    /// Whether the rest of its response could be complete by its deadline if idle servers took it now
+    /// and it were half as long as the caller estimates. `true` if that is not known.
+    pub fn can_still_end(&self) -> bool {
+        let (Some(engine), Some(size)) = (&self.engine, self.request.size) else {
+            return true;
+        };
+        let is_whole = self.request.last_event_id.is_none();
+        // Without an estimate, or with a part of the answer written earlier, only reading counts.
+        let estimate = size.answer_hint.filter(|_| is_whole).unwrap_or_default();
+        let least = (estimate / 2).min(size.max_answer);
+        let rest = least.saturating_sub(self.written());
+        self.time_budget().can_end(engine, size.prompt, rest)
+    }
+
     /// Whether its response would be complete before this process exits, if its first event comes
     /// after `first_ms`. Without sizes or a time model, the request is expected to take no
     /// longer than the objective of its route.
@@ -155,13 +187,23 @@
         budget.with_exit(self.lifetime.remaining())
     }
 
-    /// The properties of the request that placement depends on.
+    /// [`Self::need`], with the write time that answers of its service lately took.
+    pub fn need_by(&self, known: &writing::Writing) -> place::Need {
+        place::Need {
+            write_ratio: known.mean_ratio(&self.service),
+            ..self.need()
+        }
+    }
+
+    /// The properties of the request that placement depends on, with the modelled write time.
     pub fn need(&self) -> place::Need {
         place::Need {
             prompt: self.request.size.map_or(0, |size| size.prompt),
             answer: self.expected_answer(),
+            written: self.written(),
             objective: self.route.objective.saturating_sub(self.began.elapsed()),
             left: self.time_left(),
+            write_ratio: 1.0,
             priority_gap: self.priority_gap,
             bound_ms: self
                 .route
--- a/src/edge/direct/eligibility.rs
+++ b/src/edge/direct/eligibility.rs
@@ -51,15 +51,19 @@
 }
 
 /// [`at_home`], without those at which an attempt of the request is open, and without those in a
-/// pause, whatever the state of the others.
+/// pause, whatever the state of the others. A stream that was passed on in part is not resumed at a
+/// server that is silent or gone either: that spends one of its few runs for nothing.
 fn available<'a>(
     state: &'a super::State,
     now: Duration,
     context: &'a Context,
 ) -> impl Iterator<Item = register::Ready<'a>> {
     let no_pauses = state.backoffs.is_empty();
+    let is_resuming = context.is_resuming();
+    let healths = &state.healths;
     without_open(state, now, context)
         .filter(move |server| no_pauses || state.backoffs.opens_at(now, server.key) <= now)
+        .filter(move |server| !is_resuming || !healths.is_unreachable(now, &server.record.life))
 }
 
 fn without_open<'a>(
--- a/src/edge/direct/resume.rs
+++ b/src/edge/direct/resume.rs
@@ -64,11 +64,12 @@
         after: Option<&str>,
     ) -> Result<Option<stream::Chunk>, Broken> {
         let deadline = time::Instant::from_std(context.deadline);
-        let timeouts = deadline::Silence {
-            probe_after: deadline::PROBE_AFTER,
-            move_after: deadline::stall_timeout(&context.route),
-        };
         loop {
+            let rest = context.rest(&self.state().writing);
+            let timeouts = deadline::Silence {
+                probe_after: deadline::PROBE_AFTER,
+                move_after: deadline::stall_timeout(&context.route, rest),
+            };
             let Source { reader, server } = source;
             let left = self.left(context, server, timeouts);
             let cause = tokio::select! {
--- a/src/edge/direct/silence.rs
+++ b/src/edge/direct/silence.rs
@@ -36,7 +36,8 @@
 
 impl Direct {
     /// Whether a request may leave the server that it waits for. Takes one retry from the budget if
-    /// so. Otherwise the request keeps waiting, as a response may still come.
+    /// so. Otherwise the request keeps waiting, as a response may still come, also if no other
+    /// server could complete it by its deadline: a move would only load that server.
     pub(super) fn may_move(
         &self,
         context: &Context,
@@ -45,7 +46,9 @@
     ) -> Result<(), retry::Denial> {
         let cause = retry::Failure::Slow;
         let history = context.history.beside_open();
+        let in_time = context.can_still_end();
         let allowed = retry::check(&context.route, &cause, history, context.time_left())
+            .and_then(|()| in_time.then_some(()).ok_or(retry::Denial::Time))
             .and_then(|()| self.spend_retry(&context.service));
         if self.log_limiter.allow(Event::ServerSilent, self.node.now()) {
             let (decision, why) = match allowed {
@@ -53,11 +56,13 @@
                 Err(denial) => ("stay", denial.name()),
             };
             let stage = context.progress.lock().stage.name();
+            let rest = context.rest(&self.state().writing);
             log_event!(self.node.log(), Event::ServerSilent, "request" => &context.request.id,
                 "server" => server, "stage" => stage, "silent_ms" => silence.duration().as_millis() as u64,
                 "probe" => silence.probed.name(), "decision" => decision, "why" => why,
                 "ran" => context.history.ran, "tried" => context.history.tried,
-                "left_ms" => context.time_left().as_millis() as u64);
+                "left_ms" => rest.left.as_millis() as u64, "rest_ms" => rest.writing.as_millis() as u64,
+                "slack_ms" => rest.slack().as_millis() as u64);
         }
         allowed
     }
--- a/tests/common/engines.rs
+++ b/tests/common/engines.rs
@@ -29,8 +29,10 @@
     Need {
         prompt,
         answer: 1_200,
+        written: 0,
         objective: Duration::from_millis(300),
         left: Duration::from_secs(10),
+        write_ratio: 1.0,
         priority_gap: 0,
         bound_ms: 250,
         draw: 1,
--- a/tests/request_patience.rs
+++ b/tests/request_patience.rs
@@ -7,6 +7,7 @@
 use wigeonbarrow::direct::catalog::Route;
 use wigeonbarrow::direct::deadline;
 use wigeonbarrow::direct::deadline::Budget;
+use wigeonbarrow::direct::deadline::Rest;
 use wigeonbarrow::direct::deadline::Silence;
 use wigeonbarrow::direct::place::Need;
 
@@ -29,6 +30,14 @@
     engines::route(Kind::Stream, ms(300), Some(ms(250)))
 }
 
+/// An answer that has nearly all of its time left.
+fn ample(left: Duration) -> Rest {
+    Rest {
+        left,
+        writing: ms(0),
+    }
+}
+
 fn budget(waited_ms: u64) -> Budget {
     Budget::new(&long_route(), ms(waited_ms), ms(15_000 - waited_ms))
 }
@@ -123,7 +132,7 @@
 #[test]
 fn silence_limits() {
     let silence =
-        |route: &Route, can_move, left| Silence::new(route, can_move, (400.0, 100.0), left);
+        |route: &Route, can_move, left| Silence::new(route, can_move, (400.0, 100.0), ample(left));
     let short = silence(&short_route(), true, ms(10_000));
     assert_eq!(short.probe_after, deadline::PROBE_AFTER);
     assert_eq!(short.move_after, ms(1_200 + 400 + 4 * 100));
@@ -142,8 +151,9 @@
 
 #[test]
 fn stalled_streams() {
-    assert_eq!(deadline::stall_timeout(&short_route()), ms(1_500));
-    assert_eq!(deadline::stall_timeout(&long_route()), ms(5_000));
+    let timeout = |route: &Route| deadline::stall_timeout(route, ample(ms(15_000)));
+    assert_eq!(timeout(&short_route()), ms(1_500));
+    assert_eq!(timeout(&long_route()), ms(5_000));
 }
 
 /// However many answers are written beside a long one, a step reads no more context than its server
