Deadlines: a response that has arrived is passed on after the deadline

Cause: an entry that did not run while a deadline passed noticed the deadline before what lay in its socket, since each event is read from there by another task: of a stream that its server had written to the end, 3 of 20 events were passed on.

Change: after its deadline a response that was begun, or a request that was sent, is read for 50 ms more.

--- a/src/direct/deadline.rs
+++ b/src/direct/deadline.rs
@@ -68,6 +68,11 @@
 /// are usual where segments of long prompts are read beside writers.
 const MIN_SILENCE_GAPS: u32 = 2;
 
+/// Time after the deadline within which a response that has arrived is still read and passed on. A
+/// process that did not run for a while notices its deadline before what lies in its sockets, and each
+/// event is read from there by another task.
+pub const DRAIN: Duration = Duration::from_millis(50);
+
 /// A request may wait for a grant for the time until its caller abandons it, divided by this.
 const GRANT_DIVISOR: u32 = 8;
 
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -234,10 +234,22 @@
         self.state().budget.record_request(now, &context.service);
         let deadline = time::Instant::from_std(context.deadline);
         let lifetime = context.lifetime.clone();
+        let progress = context.progress.clone();
+        let attempts = self.attempt_until_done(&mut context, None);
+        let in_time = async {
+            tokio::pin!(attempts);
+            match time::timeout_at(deadline, &mut attempts).await {
+                // A request that has not been sent yet must not be sent any more.
+                Err(_) if progress.lock().stage == progress::Stage::Sent => {
+                    time::timeout(deadline::DRAIN, attempts).await
+                }
+                outcome => outcome,
+            }
+        };
         // `biased`: a response that has arrived is passed on even at the deadline.
         let outcome = tokio::select! {
             biased;
-            outcome = time::timeout_at(deadline, self.attempt_until_done(&mut context, None)) => outcome,
+            outcome = in_time => outcome,
             () = lifetime.expired() => Ok(Err(retry::Failure::Ending.into())),
         };
         context.open_at.clear();
--- a/src/edge/direct/resume.rs
+++ b/src/edge/direct/resume.rs
@@ -20,12 +20,18 @@
 pub(super) struct Source {
     reader: Box<stream::Reader>,
     server: register::Record,
+    /// When reading ends after the deadline of the request has passed. `None`: it has not.
+    drains_until: Option<time::Instant>,
 }
 
 impl From<Box<stream::Reader>> for Source {
     fn from(reader: Box<stream::Reader>) -> Self {
         let server = reader.server.clone();
-        Self { reader, server }
+        Self {
+            reader,
+            server,
+            drains_until: None,
+        }
     }
 }
 
@@ -70,14 +76,23 @@
                 probe_after: deadline::PROBE_AFTER,
                 move_after: deadline::stall_timeout(&context.route, rest),
             };
-            let Source { reader, server } = source;
+            let Source {
+                reader,
+                server,
+                drains_until,
+            } = source;
+            let reads_until = drains_until.unwrap_or(deadline);
             let left = self.left(context, server, timeouts);
             let cause = tokio::select! {
                 biased;
-                next = time::timeout_at(deadline, reader.next()) => match next {
+                next = time::timeout_at(reads_until, reader.next()) => match next {
                     Ok(stream::Next::Chunk(chunk)) => return Ok(Some(chunk)),
                     Ok(stream::Next::End) => return Ok(None),
                     Ok(stream::Next::Lost(cause)) => cause,
+                    Err(_) if drains_until.is_none() => {
+                        *drains_until = Some(time::Instant::now() + deadline::DRAIN);
+                        continue;
+                    }
                     Err(_) => {
                         let (cause, unresumed) = (retry::Failure::Late, cut::Reason::Late);
                         return Err(Broken { cause, unresumed });
@@ -135,7 +150,7 @@
         cause: &retry::Failure,
         after: Option<&str>,
     ) -> Resumed {
-        let Source { reader, server } = source;
+        let Source { reader, server, .. } = source;
         match cause {
             retry::Failure::Silent => {
                 self.pause_server(&server.life, "silent midway");
