Forecast of waiting requests: early rejection and return times

Cause: the length of the wait was not known anywhere. A request that could not be served was held until its deadline, and its caller was told to return after a sixth of the time left, whatever waited. Change: `direct/forecast` divides the work ahead of a request by the rate at which its lane was served in the last seconds, and keeps it or rejects it with the time after which its caller returns. `deadline::Budget::may_complete_idle` tells on arrival whether half of the estimated answer can be complete on idle servers.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -13,6 +13,7 @@
 pub mod catalog;
 pub mod congestion;
 pub mod deadline;
+pub mod forecast;
 pub mod gossip;
 pub mod health;
 pub mod home;
--- a/src/direct/deadline.rs
+++ b/src/direct/deadline.rs
@@ -118,11 +118,19 @@
     /// Whether a response would be complete in time if its first event came after `first`. Reading
     /// a prompt whose answer is cut off at its deadline only delays others.
     pub fn allows(&self, engine: &model::Engine, need: &place::Need, first: Duration) -> bool {
-        let writing = write_time(engine, need.prompt, need.answer);
-        let complete = first.saturating_add(writing).saturating_add(SEND_SLACK);
+        let complete = completion(engine, need, first);
         self.until_deadline > complete && self.until_abandoned > first
     }
 
+    /// Whether a response of half the expected length would be complete by its deadline, and its first
+    /// event come before its caller abandons it, on idle servers. Callers estimate the length; a
+    /// request is rejected on arrival only if there is little doubt.
+    pub fn may_complete_idle(&self, engine: &model::Engine, need: &place::Need) -> bool {
+        let first = min_read_time(engine, need);
+        let writing = engine.write_time(need.answer / 2, 1, need.prompt);
+        self.until_deadline > first.saturating_add(writing) && self.until_abandoned > first
+    }
+
     /// Whether a request without a time model would be answered in time if it were sent after `wait`.
     pub fn allows_plain(&self, wait: Duration, is_stream: bool) -> bool {
         let patience = if is_stream {
@@ -164,6 +172,19 @@
     }
 }
 
+/// Milliseconds that a waiting prompt of this rank takes to read on one server, see [`Budget::rank`].
+/// Too low for one that has waited.
+pub fn rank_work_ms(rank: u32) -> f64 {
+    f64::from(rank % LATE_RANK)
+}
+
+/// Time until a response is complete whose first event comes after `first`, with the slack that a
+/// request needs to be worth sending.
+pub fn completion(engine: &model::Engine, need: &place::Need, first: Duration) -> Duration {
+    let writing = write_time(engine, need.prompt, need.answer);
+    first.saturating_add(writing).saturating_add(SEND_SLACK)
+}
+
 /// Modelled time to write `tokens` of the answer to a prompt beside some other answers.
 pub fn write_time(engine: &model::Engine, prompt: u64, tokens: u64) -> Duration {
     // However many answers are written, a step reads no more context than a server holds.
