--- a/src/edge/direct/rejection.rs
+++ b/src/edge/direct/rejection.rs
@@ -18,20 +18,20 @@
 /// Label of the lane for long prompts in metrics.
 const LONG: &str = "long";
 
-/// The inputs of a rejection, for its event.
-struct Inputs {
+/// The inputs of a verdict, for the event of a rejection.
+pub(super) struct Inputs {
     /// Milliseconds of a server's time that waited ahead of it.
-    ahead_ms: f64,
+    pub(super) ahead_ms: f64,
     /// Predicted time until its start. `None`: not known.
-    wait: Option<Duration>,
+    pub(super) wait: Option<Duration>,
     /// Milliseconds for which the lane is served a second. `None`: not known.
-    rate: Option<f64>,
+    pub(super) rate: Option<f64>,
     /// Share of the last seconds in which long prompts waited.
-    level: f64,
+    pub(super) level: f64,
     /// Servers of the service.
-    servers: usize,
+    pub(super) servers: usize,
     /// Milliseconds for which it would occupy the whole fleet. 0: not the cause.
-    fleet_ms: f64,
+    pub(super) fleet_ms: f64,
 }
 
 impl Direct {
@@ -63,7 +63,8 @@
             servers,
             fleet_ms: 0.0,
         };
-        Err(self.reject(context, &inputs, forecast::Cause::Deadline, after))
+        let verdict = forecast::Verdict::Reject(forecast::Cause::Deadline, after);
+        self.apply(context, &inputs, verdict)
     }
 
     /// Whether a long prompt without a server may wait for one.
@@ -110,9 +111,6 @@
         if let Some(wait) = outlook.wait.filter(|_| is_sampled) {
             self.counts.wait_predicted(LONG, wait);
         }
-        let forecast::Verdict::Reject(cause, after) = outlook.verdict else {
-            return Ok(());
-        };
         let inputs = Inputs {
             ahead_ms,
             wait: outlook.wait,
@@ -121,7 +119,26 @@
             servers,
             fleet_ms: congested.map_or(0.0, |congested| congested.fleet_ms),
         };
-        Err(self.reject(context, &inputs, cause, after))
+        self.apply(context, &inputs, outlook.verdict)
+    }
+
+    /// Carries out a verdict of any lane.
+    ///
+    /// # Errors
+    ///
+    /// If the request is rejected: the time after which to retry.
+    pub(super) fn apply(
+        &self,
+        context: &Context,
+        inputs: &Inputs,
+        verdict: forecast::Verdict,
+    ) -> Result<(), retry::Failure> {
+        match verdict {
+            forecast::Verdict::Keep => Ok(()),
+            forecast::Verdict::Reject(cause, after) => {
+                Err(self.reject(context, inputs, cause, after))
+            }
+        }
     }
 
     /// Counts and logs a rejection.
