Tests of the sampled rate and of the work ahead of a long prompt

Cause: the rate of a lane that all entries share, and the work ahead by ranks, were covered by no test. Change: two tests in tests/early_rejection.rs.

--- a/tests/early_rejection.rs
+++ b/tests/early_rejection.rs
@@ -15,6 +15,7 @@
 use wigeonbarrow::direct::forecast::Forecast;
 use wigeonbarrow::direct::forecast::Need;
 use wigeonbarrow::direct::forecast::Verdict;
+use wigeonbarrow::direct::load::Table;
 
 #[path = "common/engines.rs"]
 mod engines;
@@ -141,6 +142,40 @@
     assert_eq!(forecast.judge(now, &need(60_000.0)).verdict, Verdict::Keep);
 }
 
+/// The rate of a lane that all entries share comes from samples of the servers at work, and only while
+/// they are frequent: how the lane was served in a gap is not known.
+#[test]
+fn rate_from_samples() {
+    let mut forecast = Forecast::default();
+    let at = |step: u64| Duration::from_millis(step * 100);
+    for step in 0..30 {
+        assert!(forecast.is_sample_due(at(step)));
+        forecast.sample(at(step), 4.0);
+        assert!(!forecast.is_sample_due(at(step) + Duration::from_millis(50)));
+    }
+    let rate = forecast.rate().expect("known after three seconds");
+    assert!((4_000.0..4_400.0).contains(&rate), "{rate}");
+    // After a gap of a second without samples, the servers at work count from then on.
+    forecast.sample(at(40), 4.0);
+    let same = forecast.rate().expect("still known");
+    assert!((same - rate).abs() < 1.0, "{same} {rate}");
+    forecast.sample(at(200), 4.0);
+    assert_eq!(forecast.rate(), None, "too long ago");
+}
+
+/// The work ahead of a long prompt is that of the prompts with lower ranks, late ones included.
+#[test]
+fn work_of_lower_ranks() {
+    let mut loads = Table::default();
+    for rank in [900, 2_000, 1_003_000] {
+        loads.enqueue(None, rank);
+    }
+    let ahead = |rank| loads.work_ahead(Duration::ZERO, rank) as u64;
+    assert_eq!([ahead(900), ahead(901), ahead(5_000)], [0, 900, 2_900]);
+    assert_eq!(ahead(1_004_000), 5_900);
+    assert_eq!(loads.waiting_count(Duration::ZERO), 3);
+}
+
 /// A prompt that cannot be complete by its deadline is rejected on arrival; one that may be, if its
 /// answer turns out half as long as its caller estimates, is not.
 #[test]
