Merge: admission of long prompts by a forecast

Cause: long prompts were held until they could not be in time any more, and Retry-After was a sixth of the time left. Change: a forecast from the work ahead and the rate at which long prompts are read rejects early and hands out return times; a return, known by its time left, is not rejected for the length of the queue. What cannot end is rejected on arrival, with the check of the deadline part in place of a second one.

--- a/src/direct/deadline.rs
+++ b/src/direct/deadline.rs
@@ -131,8 +131,7 @@
     /// Whether a response would be complete in time if its first event came after `first`. Reading
     /// a prompt whose answer is cut off at its deadline only delays others.
     pub fn allows(&self, engine: &model::Engine, need: &place::Need, first: Duration) -> bool {
-        let writing = write_time(engine, need.prompt, need.answer);
-        let complete = first.saturating_add(writing).saturating_add(SEND_SLACK);
+        let complete = completion(engine, need, first);
         self.until_deadline > complete && self.until_abandoned > first
     }
 
@@ -186,6 +185,19 @@
     }
 }
 
+/// Milliseconds that a waiting prompt of this rank takes to read on one server, see [`Budget::rank`].
+/// Too low for one that has waited.
+pub fn rank_work_ms(rank: u32) -> f64 {
+    f64::from(rank % LATE_RANK)
+}
+
+/// Time until a response is complete whose first event comes after `first`, with the slack that a
+/// request needs to be worth sending.
+pub fn completion(engine: &model::Engine, need: &place::Need, first: Duration) -> Duration {
+    let writing = write_time(engine, need.prompt, need.answer);
+    first.saturating_add(writing).saturating_add(SEND_SLACK)
+}
+
 /// Modelled time to write `tokens` of the answer to a prompt beside some other answers.
 pub fn write_time(engine: &model::Engine, prompt: u64, tokens: u64) -> Duration {
     // However many answers are written, a step reads no more context than a server holds.
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -508,12 +508,11 @@
                 }
             }
             retry::Failure::Broken
-            | retry::Failure::Away
+            | retry::Failure::Away(_)
             | retry::Failure::Limited(_)
             | retry::Failure::Paused(_)
             | retry::Failure::Withdrawn
             | retry::Failure::Unreserved(_)
-            | retry::Failure::Infeasible
             | retry::Failure::Excluded
             | retry::Failure::Suspect
             | retry::Failure::Late
@@ -570,13 +569,12 @@
 
 fn cause_name(cause: &retry::Failure) -> &'static str {
     match cause {
-        retry::Failure::Away => "away",
+        retry::Failure::Away(_) => "away",
         retry::Failure::Limited(_) => "limited",
         retry::Failure::Paused(_) => "paused",
         retry::Failure::Unsent => "unsent",
         retry::Failure::Withdrawn => "withdrawn",
         retry::Failure::Unreserved(_) => "unreserved",
-        retry::Failure::Infeasible => "infeasible",
         retry::Failure::Excluded => "excluded",
         retry::Failure::NotRun { .. } => "not_run",
         retry::Failure::Broken => "broken",
