One queue and one share table for both paths

The direct path needs the lanes, the order and the bounds that the entry role has, and the mean use of workspaces.

src/queue.rs holds the lanes, the order within a lane and the bounds; src/entry/queue.rs uses it. src/share.rs is the former src/entry/share.rs, with the time constant of the mean use as a field and charge() for workspaces of equal weight.

router_choice, router_policy, fair_shares and starvation_bound pass unchanged (10 tests).

--- a/src/entry.rs
+++ b/src/entry.rs
@@ -12,5 +12,6 @@
 pub mod queue;
 pub mod request;
 pub mod router;
-pub mod share;
 pub mod suspect;
+
+pub use crate::share;
--- a/src/entry/queue.rs
+++ b/src/entry/queue.rs
@@ -1,10 +1,9 @@
 //! Requests that wait at an entry for capacity on a backend server.
 
-use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::time::Duration;
 
 use crate::entry::job;
+use crate::queue;
 use crate::wire::id;
 use crate::wire::run;
 
@@ -61,102 +60,108 @@
     }
 }
 
-/// Position in a lane: fair-share tag, then order of arrival.
-type Key = (u64, u64);
+impl queue::Item for Waiting {
+    type Id = id::Request;
+    type Lane = (Pool, run::Class);
+    type Order = u64;
 
-/// Requests of one pool and class.
-type Lane = BTreeMap<Key, Waiting>;
+    fn id(&self) -> id::Request {
+        self.job.request
+    }
+
+    fn lane(&self) -> (Pool, run::Class) {
+        (Pool::of(&self.job), self.class)
+    }
+
+    fn order(&self) -> u64 {
+        self.tag
+    }
+
+    /// The bodies are held by the connections and bounded there.
+    fn bytes(&self) -> usize {
+        0
+    }
+}
 
 /// The requests that wait.
-#[derive(Clone, Debug, Default)]
-pub struct Queue {
-    lanes: BTreeMap<(Pool, run::Class), Lane>,
-    positions: HashMap<id::Request, ((Pool, run::Class), Key)>,
-    next_number: u64,
+#[derive(Clone, Debug)]
+pub struct Queue(queue::Queue<Waiting>);
+
+impl Default for Queue {
+    fn default() -> Self {
+        Self(queue::Queue::new(queue::Bounds {
+            requests: MAX_WAITING,
+            bytes: usize::MAX,
+        }))
+    }
 }
 
 impl Queue {
     /// How many wait.
     pub fn len(&self) -> usize {
-        self.positions.len()
+        self.0.len()
     }
 
     /// Whether none waits.
     pub fn is_empty(&self) -> bool {
-        self.positions.is_empty()
+        self.0.is_empty()
+    }
+
+    /// Whether more wait than [`MAX_WAITING`].
+    pub fn is_over(&self) -> bool {
+        self.0.is_over()
     }
 
     /// Whether any request of this pool and class waits.
     pub fn has(&self, pool: &Pool, class: run::Class) -> bool {
-        self.lanes.contains_key(&(pool.clone(), class))
+        self.0.has(&(pool.clone(), class))
     }
 
     /// Prompt tokens of the requests that precede one of this pool, class and tag.
     pub fn ahead(&self, pool: &Pool, class: run::Class, tag: u64) -> u64 {
         let first = (pool.clone(), run::Class::Short);
         let last = (pool.clone(), class);
-        let lanes = self.lanes.range(first..=last);
-        let before = lanes.flat_map(|(_, lane)| lane.range(..(tag, 0)));
-        before.map(|(_, waiting)| waiting.prompt_tokens).sum()
+        let before = self.0.before(first, last, tag);
+        before.map(|waiting| waiting.prompt_tokens).sum()
     }
 
     pub fn push(&mut self, waiting: Waiting) {
-        let lane = (Pool::of(&waiting.job), waiting.class);
-        let key = (waiting.tag, self.next_number);
-        self.next_number += 1;
-        self.positions
-            .insert(waiting.job.request, (lane.clone(), key));
-        self.lanes.entry(lane).or_default().insert(key, waiting);
+        self.0.push(waiting);
     }
 
     pub fn remove(&mut self, request: id::Request) -> Option<Waiting> {
-        let (name, key) = self.positions.remove(&request)?;
-        let lane = self.lanes.get_mut(&name)?;
-        let waiting = lane.remove(&key)?;
-        if lane.is_empty() {
-            self.lanes.remove(&name);
-        }
-        Some(waiting)
+        self.0.remove(request)
     }
 
     /// Pools and classes of the waiting requests.
     pub fn lanes(&self) -> Vec<(Pool, run::Class)> {
-        self.lanes.keys().cloned().collect()
+        self.0.lanes().cloned().collect()
     }
 
     /// The first `count` requests of a lane, by tag.
     pub fn first(&self, lane: &(Pool, run::Class), count: usize) -> Vec<id::Request> {
-        self.lanes.get(lane).map_or_else(Vec::new, |lane| {
-            let first = lane.values().take(count);
-            first.map(|waiting| waiting.job.request).collect()
-        })
+        let first = self.0.lane(lane).take(count);
+        first.map(|waiting| waiting.job.request).collect()
     }
 
     /// A waiting request.
     pub fn get(&self, request: id::Request) -> Option<&Waiting> {
-        let (lane, key) = self.positions.get(&request)?;
-        self.lanes.get(lane)?.get(key)
+        self.0.get(request)
     }
 
     /// Lowest tag of the waiting requests.
     pub fn first_tag(&self) -> Option<u64> {
-        let firsts = self.lanes.values();
-        firsts
-            .filter_map(|lane| Some(lane.first_key_value()?.0.0))
-            .min()
+        self.0.firsts().map(|waiting| waiting.tag).min()
     }
 
     /// The request to shed first: the latest with the highest tag, whose workspace is furthest over
     /// its share.
     pub fn shed_candidate(&self) -> Option<id::Request> {
-        let lasts = self.lanes.values();
-        let lasts = lasts.filter_map(|lane| lane.last_key_value());
-        let (_, waiting) = lasts.max_by_key(|(key, _)| **key)?;
-        Some(waiting.job.request)
+        self.0.last().map(|waiting| waiting.job.request)
     }
 
     /// All waiting requests, in no order.
     pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
-        self.lanes.values().flat_map(|lane| lane.values())
+        self.0.iter()
     }
 }
--- a/src/entry/router/dispatch.rs
+++ b/src/entry/router/dispatch.rs
@@ -209,7 +209,7 @@
         self.last_contention = Some(now);
         let request = waiting.job.request;
         self.queue.push(waiting);
-        if self.queue.len() <= queue::MAX_WAITING {
+        if !self.queue.is_over() {
             return;
         }
         let shed = self.queue.shed_candidate().unwrap_or(request);
--- a/src/entry/share.rs
+++ b/src/share.rs
@@ -1,4 +1,5 @@
-//! Weighted fair shares of workspaces, by start-time fair queuing over estimated tokens.
+//! Weighted fair shares of workspaces, by start-time fair queuing over estimated tokens, and by
+//! their mean use.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 
 /// Time constant of the mean use. It is long enough that a single large request does not put a
 /// small workspace over its share.
-const MEAN_SECONDS: f64 = 20.0;
+const MEAN_TIME: Duration = Duration::from_secs(20);
 
 /// A workspace counts as over its share when it uses more than this many times the share.
 const OVER_SHARE_FACTOR: f64 = 2.0;
@@ -33,13 +34,13 @@
 }
 
 impl Rate {
-    fn get(&self, now: Duration) -> f64 {
+    fn get(&self, now: Duration, mean_time: Duration) -> f64 {
         let age = now.saturating_sub(self.at).as_secs_f64();
-        self.value * (-age / MEAN_SECONDS).exp()
+        self.value * (-age / mean_time.as_secs_f64()).exp()
     }
 
-    fn add(&mut self, now: Duration, amount: f64) {
-        self.value = self.get(now) + amount / MEAN_SECONDS;
+    fn add(&mut self, now: Duration, mean_time: Duration, amount: f64) {
+        self.value = self.get(now, mean_time) + amount / mean_time.as_secs_f64();
         self.at = now;
     }
 }
@@ -55,9 +56,11 @@
 }
 
 /// The workspaces' use of this entry.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Shares {
     workspaces: HashMap<String, Workspace>,
+    /// Time constant of the mean use. Invariant: not 0.
+    mean_time: Duration,
     /// Virtual time: the highest start tag of placed work. Invariant: never decreases.
     virtual_now: u64,
     used: Rate,
@@ -66,7 +69,25 @@
     counted_at: Option<Duration>,
 }
 
+impl Default for Shares {
+    fn default() -> Self {
+        Self::new(MEAN_TIME)
+    }
+}
+
 impl Shares {
+    /// Shares by the mean use with this time constant, at least a millisecond.
+    pub fn new(mean_time: Duration) -> Self {
+        Self {
+            workspaces: HashMap::new(),
+            mean_time: mean_time.max(Duration::from_millis(1)),
+            virtual_now: 0,
+            used: Rate::default(),
+            active_weight: 0,
+            counted_at: None,
+        }
+    }
+
     /// Applies the weights and limits of a configuration.
     pub fn configure(&mut self, conf: &config::Set) {
         for (name, state) in &mut self.workspaces {
@@ -81,14 +102,7 @@
         if !self.workspaces.contains_key(workspace) {
             self.evict();
             let (weight, max_in_progress) = weight_and_limit(conf, workspace);
-            let state = Workspace {
-                weight,
-                max_in_progress,
-                in_progress: 0,
-                finish: 0,
-                used: Rate::default(),
-            };
-            self.workspaces.insert(workspace.to_owned(), state);
+            self.insert(workspace, weight, max_in_progress);
         }
         let Some(state) = self.workspaces.get_mut(workspace) else {
             return false;
@@ -100,6 +114,32 @@
         true
     }
 
+    fn insert(&mut self, workspace: &str, weight: u32, max_in_progress: u32) {
+        let state = Workspace {
+            weight,
+            max_in_progress,
+            in_progress: 0,
+            finish: 0,
+            used: Rate::default(),
+        };
+        self.workspaces.insert(workspace.to_owned(), state);
+    }
+
+    /// Records use by a workspace of weight 1 without a limit, of which only the use is counted.
+    pub fn charge(&mut self, now: Duration, workspace: &str, cost: u64) {
+        if !self.workspaces.contains_key(workspace) {
+            if self.workspaces.len() >= MAX_WORKSPACES {
+                let mean_time = self.mean_time;
+                self.workspaces
+                    .retain(|_, state| state.used.get(now, mean_time) >= MIN_ACTIVE_RATE);
+            }
+            if self.workspaces.len() < MAX_WORKSPACES {
+                self.insert(workspace, 1, u32::MAX);
+            }
+        }
+        self.placed(now, workspace, 0, cost);
+    }
+
     /// Counts the end of a request.
     pub fn close(&mut self, workspace: &str) {
         if let Some(state) = self.workspaces.get_mut(workspace) {
@@ -121,9 +161,9 @@
     /// Records that work with this tag was placed.
     pub fn placed(&mut self, now: Duration, workspace: &str, tag: u64, tokens: u64) {
         self.virtual_now = self.virtual_now.max(tag);
-        self.used.add(now, tokens as f64);
+        self.used.add(now, self.mean_time, tokens as f64);
         if let Some(state) = self.workspaces.get_mut(workspace) {
-            state.used.add(now, tokens as f64);
+            state.used.add(now, self.mean_time, tokens as f64);
         }
     }
 
@@ -134,12 +174,12 @@
             return false;
         };
         let weight = u64::from(state.weight);
-        let total = self.used.get(now);
+        let total = self.used.get(now, self.mean_time);
         if self.active_weight <= weight || total < MIN_ACTIVE_RATE {
             return false;
         }
         let fair = total * weight as f64 / self.active_weight as f64;
-        state.used.get(now) > OVER_SHARE_FACTOR * fair
+        state.used.get(now, self.mean_time) > OVER_SHARE_FACTOR * fair
     }
 
     /// Sums the weights of active workspaces, at most once a second.
@@ -152,7 +192,7 @@
         self.active_weight = self
             .workspaces
             .values()
-            .filter(|state| state.used.get(now) >= MIN_ACTIVE_RATE)
+            .filter(|state| state.used.get(now, self.mean_time) >= MIN_ACTIVE_RATE)
             .map(|state| u64::from(state.weight))
             .sum();
     }
