Decide whose turn it is among requests that wait for a place

Each waiting request sleeps and compares all servers by itself, and the first to wake takes the capacity.

--- a/src/direct.rs
+++ b/src/direct.rs
@@ -33,4 +33,5 @@
 pub mod suspect;
 pub mod tally;
 pub mod ticket;
+pub mod waiting;
 pub mod writing;
--- a/src/direct/load.rs
+++ b/src/direct/load.rs
@@ -180,6 +180,13 @@
         ticket
     }
 
+    /// Updates the rank of a prompt that waits for its turn. One that no longer waits stays out.
+    pub fn update_rank(&mut self, ticket: Ticket, rank: u32) {
+        if let Some(known) = self.waiting.get_mut(&ticket) {
+            *known = rank;
+        }
+    }
+
     /// Removes a prompt from those that wait for their turn.
     pub fn dequeue(&mut self, ticket: Ticket) {
         self.waiting.remove(&ticket);
