Wake waiting requests on events and one timer

Each waiting request slept 15, 40, 100 or 150 ms and compared all servers.

A request without a place joins the queue and is woken when it is its turn: by an end or a first event here, a report, pace, record, limit or pause from elsewhere, at most each 10 to 40 ms for each lane, or by a timer. The woken request makes the choice itself. Plain calls wait up to half of their objective while all servers have as many calls as slots.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -31,6 +31,7 @@
 use crate::direct::register;
 use crate::direct::suspect;
 use crate::direct::tally;
+use crate::direct::waiting;
 use crate::direct::writing;
 use crate::log_event;
 use crate::wire::agree;
@@ -59,6 +60,7 @@
 pub mod probe;
 pub mod progress;
 pub mod publish;
+mod queue;
 pub mod relay;
 pub mod reserve;
 mod resume;
@@ -90,6 +92,8 @@
     pub reservation_ttl: Duration,
     /// How many times the rate of requests that a cold server is meant to take it survives.
     pub cold_overshoot: f64,
+    /// Bounds of the requests that wait here for a place.
+    pub waiting: crate::queue::Bounds,
     /// Availability zones of the deployment, each with its region. Empty: not known.
     pub zones: BTreeMap<String, String>,
 }
@@ -144,6 +148,8 @@
     log_limiter: log_limit::Limiter,
     cut_ids: cut::Gathered,
     counts: count::Counts,
+    /// Requests that wait for a place.
+    queue: queue::Queue,
     /// Requests in progress.
     progress: progress::Table,
     /// Memory of responses that are read whole.
@@ -196,6 +202,7 @@
             log_limiter: log_limit::Limiter::default(),
             cut_ids: cut::Gathered::default(),
             counts: count::Counts::new(node.metrics()),
+            queue: queue::Queue::new(settings.waiting),
             progress: progress::Table::default(),
             buffers: Arc::default(),
             loads_changed: Notify::new(),
@@ -336,6 +343,7 @@
             Ok(catalog) => {
                 self.catalog.store(Some(Arc::new(catalog)));
                 self.availability_changed.notify_waiters();
+                self.capacity_changed(waiting::Source::Here);
                 log_event!(self.node.log(), Event::DocumentInForce, "version" => version,
                     "bytes" => text.len());
             }
@@ -392,6 +400,7 @@
         self.log_sent();
         self.log_ended_pauses();
         self.prune_grants();
+        self.count_waiting();
         let now = self.node.now();
         let mut state = self.state();
         state.register.prune(now);
--- a/src/edge/direct/account.rs
+++ b/src/edge/direct/account.rs
@@ -8,6 +8,7 @@
 use crate::direct::quota;
 use crate::direct::register;
 use crate::direct::tally;
+use crate::direct::waiting;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -46,6 +47,7 @@
         };
         let recent = state.tally.recent(now, instance);
         drop(state);
+        self.capacity_changed(waiting::Source::Elsewhere);
         self.broadcast(gossip::Message::Limits(vec![report]));
         log_event!(self.node.log(), Event::ServerLimit, "server" => instance, "change" => report.change,
             "limit" => limit_text(report.limit), "direct" => true,
@@ -60,6 +62,7 @@
             if !self.state().quotas.merge(now, report) {
                 continue;
             }
+            self.capacity_changed(waiting::Source::Elsewhere);
             let instance = self.instance_of(report.server);
             log_event!(self.node.log(), Event::ServerLimit,
                 "server" => instance.map_or(String::new(), |instance| instance.to_string()),
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -5,13 +5,12 @@
 use std::sync::MutexGuard;
 use std::time::Duration;
 
-use tokio::time;
-
 use super::Direct;
 use super::context::Context;
 use super::eligibility;
 use super::grant::Reason;
 use super::progress;
+use super::queue;
 use super::turn;
 use crate::direct::deadline;
 use crate::direct::lane;
@@ -22,13 +21,17 @@
 use crate::direct::register;
 use crate::direct::retry;
 use crate::direct::subset;
+use crate::direct::waiting;
 use crate::edge::event::Event;
 use crate::log_event;
 
-/// Pauses between two searches of a request for a server that is not full: before its objective
-/// has passed, and after.
+/// Time for which others go before a request whose servers are full while other servers, which it may
+/// not use or which name a limit, may take them.
 const FULL_PAUSE: Duration = Duration::from_millis(40);
-const FULL_PAUSE_LATE: Duration = Duration::from_millis(150);
+
+/// Time for which others go before a prompt that lacks memory: about two passes of an engine. Each
+/// try compares all servers, which on the smallest VMs costs more than the shorter wait gains.
+const MEMORY_PAUSE: Duration = Duration::from_millis(100);
 
 /// Least and most time between two looks whether a server takes requests again after a pause. Others
 /// may become known meanwhile.
@@ -61,6 +64,21 @@
     Exiting,
 }
 
+/// Outcome of one search for servers, those that name a limit included.
+enum Search {
+    /// Servers are assigned.
+    Assigned(Box<Assignment>),
+    /// None has capacity.
+    Waits(waiting::Outcome),
+}
+
+impl Search {
+    /// None has capacity, and others may go first until this time.
+    fn passes(until: Duration) -> Self {
+        Self::Waits(waiting::Outcome::Passes(until))
+    }
+}
+
 /// The load of one request as accounted for by this entry. Dropping it removes the load.
 pub struct Guard {
     direct: Arc<Direct>,
@@ -72,6 +90,7 @@
     pub fn start_writing(&self) {
         self.direct.state().loads.start_writing(self.ticket);
         self.direct.loads_changed.notify_one();
+        self.direct.capacity_changed(waiting::Source::Here);
     }
 }
 
@@ -80,6 +99,7 @@
         let now = self.direct.node.now();
         self.direct.state().loads.remove(now, self.ticket);
         self.direct.loads_changed.notify_one();
+        self.direct.capacity_changed(waiting::Source::Here);
     }
 }
 
@@ -129,6 +149,9 @@
         if context.may_wait_at_entry() && place.is_full(context.route.objective) {
             return Choice::Full;
         }
+        if context.may_wait_for_slot() && waiting::are_full(&servers) {
+            return Choice::Full;
+        }
         Choice::Assigned(Box::new(
             self.assign(state, context, &records, &servers, place),
         ))
@@ -178,6 +201,7 @@
         let ticket = state.loads.insert(now, claim);
         drop(state);
         self.loads_changed.notify_one();
+        self.charge_share(context);
         let guard = Guard {
             direct: Arc::clone(self),
             ticket,
@@ -314,55 +338,99 @@
             return Ok(assignment);
         }
         let mut turn = turn::Turn::new(self);
+        let mut wait = queue::Wait::new(self);
         loop {
             if self.sheds(context) {
                 return Err(retry::Failure::Away);
             }
-            if turn.is_next(context) {
-                match self.choose(context, Reading::InTurn) {
-                    Choice::Assigned(assignment) => return Ok(*assignment),
-                    Choice::Exiting => return Err(retry::Failure::Ending),
-                    Choice::NoServer => match self.choose_only_limited(context).await {
-                        Err(retry::Failure::Unsent) => {
-                            self.await_pause(context).await?;
-                            continue;
-                        }
-                        chosen => return chosen,
-                    },
-                    Choice::NeedsTurn => turn.wait(context),
-                    Choice::NeedsCapacity => turn.leave(),
-                    Choice::Full if !self.may_complete_here(context) => {
-                        return Err(retry::Failure::Ending);
-                    }
-                    Choice::Full => {
-                        let limited = self.choose_limited(context, Reason::OthersFull);
-                        if let Ok(Some(assignment)) = limited.await {
-                            return Ok(assignment);
-                        }
-                        time::sleep(full_pause(context)).await;
-                        continue;
+            let outcome = if wait.is_behind(context) {
+                waiting::Outcome::Blocks
+            } else {
+                match self.choose_or_wait(context, &mut turn, &wait).await? {
+                    Search::Assigned(assignment) => {
+                        wait.set_placed();
+                        return Ok(*assignment);
                     }
+                    Search::Waits(outcome) => outcome,
                 }
-            } else {
-                turn.wait(context);
-            }
-            if !context.may_wait_for_server() {
-                return Err(retry::Failure::Unsent);
+            };
+            wait.pause(context, &turn, outcome).await?;
+        }
+    }
+
+    /// Searches once for servers, those that name a limit included.
+    ///
+    /// # Errors
+    ///
+    /// If the request is not to wait any longer.
+    async fn choose_or_wait(
+        self: &Arc<Self>,
+        context: &Context,
+        turn: &mut turn::Turn,
+        wait: &queue::Wait,
+    ) -> Result<Search, retry::Failure> {
+        let outcome = if turn.is_next(context) {
+            match self.choose(context, Reading::InTurn) {
+                Choice::Assigned(assignment) => return Ok(Search::Assigned(assignment)),
+                Choice::Exiting => return Err(retry::Failure::Ending),
+                Choice::NoServer => {
+                    wait.pass(FULL_PAUSE);
+                    return match self.choose_only_limited(context).await {
+                        Ok(assignment) => Ok(Search::Assigned(Box::new(assignment))),
+                        Err(retry::Failure::Unsent) => self.pause_end(context).map(Search::passes),
+                        Err(failure) => Err(failure),
+                    };
+                }
+                Choice::NeedsTurn => {
+                    turn.wait(context);
+                    waiting::Outcome::Blocks
+                }
+                Choice::NeedsCapacity => {
+                    turn.leave();
+                    waiting::Outcome::Passes(self.node.now() + MEMORY_PAUSE)
+                }
+                Choice::Full if !self.may_complete_here(context) => {
+                    return Err(retry::Failure::Ending);
+                }
+                Choice::Full => return Ok(self.choose_other(context, wait).await),
             }
-            if !self.may_complete_here(context) {
-                return Err(retry::Failure::Ending);
+        } else {
+            turn.wait(context);
+            waiting::Outcome::Blocks
+        };
+        if !context.may_wait_for_server() {
+            return Err(retry::Failure::Unsent);
+        }
+        if !self.may_complete_here(context) {
+            return Err(retry::Failure::Ending);
+        }
+        Ok(Search::Waits(outcome))
+    }
+
+    /// Searches for a server that names a limit while all others are full.
+    async fn choose_other(self: &Arc<Self>, context: &Context, wait: &queue::Wait) -> Search {
+        let has_limits = !self.state().quotas.is_empty(self.node.now());
+        if has_limits {
+            // A grant may take long, and those behind it may get other ones.
+            wait.pass(FULL_PAUSE);
+            let limited = self.choose_limited(context, Reason::OthersFull);
+            if let Ok(Some(assignment)) = limited.await {
+                return Search::Assigned(Box::new(assignment));
             }
-            time::sleep(turn.poll_interval()).await;
         }
+        // The servers that it may not use may have capacity for those behind it.
+        if has_limits || context.is_confined() {
+            return Search::passes(self.node.now() + FULL_PAUSE);
+        }
+        Search::Waits(waiting::Outcome::Blocks)
     }
 
-    /// Waits until a server of the request may take it again after a pause, or something else may
-    /// have changed.
+    /// Until when a request waits for a server that is in a pause, unless something else changes.
     ///
     /// # Errors
     ///
     /// If no server is in a pause, or none takes the request again in time.
-    async fn await_pause(&self, context: &Context) -> Result<(), retry::Failure> {
+    fn pause_end(&self, context: &Context) -> Result<Duration, retry::Failure> {
         let now = self.node.now();
         let paused = eligibility::paused(&self.state(), now, context);
         let Some(eligibility::Paused { servers, opens_at }) = paused else {
@@ -370,8 +438,7 @@
         };
         let wait = opens_at.saturating_sub(now);
         if context.may_wait_for(wait) {
-            time::sleep(wait.clamp(MIN_PAUSE_POLL, PAUSE_POLL)).await;
-            return Ok(());
+            return Ok(now + wait.clamp(MIN_PAUSE_POLL, PAUSE_POLL));
         }
         let retry_after = self
             .state()
@@ -403,16 +470,6 @@
     }
 }
 
-/// Pause between two searches for a server that is not full. Requests that are late already search
-/// less often, so that free capacity goes to those that can still be on time.
-fn full_pause(context: &Context) -> Duration {
-    if context.began.elapsed() > context.route.objective {
-        FULL_PAUSE_LATE
-    } else {
-        FULL_PAUSE
-    }
-}
-
 /// Finds a place for a long prompt on `servers` that can read it while they generate other
 /// responses.
 fn find_without_turn(
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -1,5 +1,6 @@
 //! Metrics of requests: counters and latency histograms.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -9,6 +10,7 @@
 use prometheus_client::metrics::histogram;
 
 use crate::direct::tally;
+use crate::direct::waiting;
 use crate::edge::metric;
 
 /// Upper bounds of latency buckets in seconds: from a network round trip to the longest deadline.
@@ -41,6 +43,16 @@
     kind: String,
 }
 
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Class {
+    class: String,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Because {
+    cause: String,
+}
+
 type Histograms = family::Family<Of, histogram::Histogram, fn() -> histogram::Histogram>;
 
 /// The metrics of an entry without sidecars. To bound their number, labels are services, of which
@@ -54,6 +66,10 @@
     attempts: family::Family<Ended, counter::Counter>,
     cut: family::Family<Cut, counter::Counter>,
     running: gauge::Gauge,
+    waiting: family::Family<Class, gauge::Gauge>,
+    waiting_bytes: gauge::Gauge,
+    waiting_oldest: family::Family<Class, gauge::Gauge<f64, AtomicU64>>,
+    waiting_rejected: family::Family<Because, counter::Counter>,
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
     sent_in_pause: family::Family<For, counter::Counter>,
@@ -84,6 +100,10 @@
             attempts: family::Family::default(),
             cut: family::Family::default(),
             running: gauge::Gauge::default(),
+            waiting: family::Family::default(),
+            waiting_bytes: gauge::Gauge::default(),
+            waiting_oldest: family::Family::default(),
+            waiting_rejected: family::Family::default(),
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
             sent_in_pause: family::Family::default(),
@@ -153,6 +173,18 @@
                 own.datagram_bytes,
             );
             sub.register("running", "Requests in progress", own.running);
+            sub.register("waiting", "Requests that wait for a place", own.waiting);
+            sub.register("waiting_bytes", "Bytes of their bodies", own.waiting_bytes);
+            sub.register(
+                "waiting_oldest_seconds",
+                "Time since the oldest of them arrived",
+                own.waiting_oldest,
+            );
+            sub.register(
+                "rejected_waiting",
+                "Requests rejected while they waited, by cause",
+                own.waiting_rejected,
+            );
         });
         counts
     }
@@ -207,6 +239,31 @@
         self.datagram_bytes.get_or_create(&label).inc_by(bytes);
     }
 
+    /// Sets what waits for a place in a class.
+    pub fn set_waiting(&self, class: waiting::Class, summary: waiting::Summary) {
+        let label = Class {
+            class: class.name().to_owned(),
+        };
+        let requests = i64::try_from(summary.requests).unwrap_or(i64::MAX);
+        self.waiting.get_or_create(&label).set(requests);
+        let oldest = self.waiting_oldest.get_or_create(&label);
+        oldest.set(summary.oldest.as_secs_f64());
+    }
+
+    /// Sets the bytes of the bodies of all that wait.
+    pub fn set_waiting_bytes(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.waiting_bytes.set(bytes);
+    }
+
+    /// A request was rejected while it waited for a place.
+    pub fn waiting_rejected(&self, cause: &str) {
+        let cause = cause.to_owned();
+        self.waiting_rejected
+            .get_or_create(&Because { cause })
+            .inc();
+    }
+
     /// A caller's request started.
     pub fn request_started(&self) {
         self.running.inc();
--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -171,6 +171,7 @@
         log_event!(handler.log(), Event::RoleFailed, "cause" => err.to_string());
     });
     tokio::spawn(mesh::run(Arc::clone(&direct), datagrams));
+    tokio::spawn(Arc::clone(&direct).run_queue());
     tokio::spawn(Arc::clone(&direct).follow_documents(platform.read));
     tokio::spawn(Arc::clone(&direct).follow_evacuations());
     tokio::spawn(Arc::clone(&direct).confirm());
--- a/src/edge/direct/health_check.rs
+++ b/src/edge/direct/health_check.rs
@@ -15,6 +15,7 @@
 use crate::direct::load;
 use crate::direct::register;
 use crate::direct::rendezvous;
+use crate::direct::waiting;
 
 /// Time between two health checks of a server. A server that becomes slow, by a factor of four or
 /// more, delays the requests that are sent to it within this time.
@@ -107,5 +108,6 @@
                     .set_pace(&instance, f64::from(pace) / 100.0);
             }
         }
+        self.capacity_changed(waiting::Source::Elsewhere);
     }
 }
--- a/src/edge/direct/heartbeat.rs
+++ b/src/edge/direct/heartbeat.rs
@@ -7,6 +7,7 @@
 use crate::direct::load;
 use crate::direct::quota;
 use crate::direct::register;
+use crate::direct::waiting;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -114,6 +115,9 @@
             cooled = state.quotas.set_cold(now, key, record.seq, cold, rate);
         }
         drop(state);
+        if update == register::Update::New || update == register::Update::Changed {
+            self.capacity_changed(waiting::Source::Elsewhere);
+        }
         match update {
             register::Update::New => {
                 self.availability_changed.notify_waiters();
--- a/src/edge/direct/mesh.rs
+++ b/src/edge/direct/mesh.rs
@@ -18,6 +18,7 @@
 use crate::direct::register;
 use crate::direct::reporter;
 use crate::direct::spread;
+use crate::direct::waiting;
 use crate::edge::event::Event;
 use crate::edge::node;
 use crate::log_event;
@@ -339,8 +340,12 @@
                     loads,
                     waiting,
                 };
-                let table = &mut self.direct.state().loads;
-                table.apply(now, from.link, from.life, datagram.seq, report);
+                let mut state = self.direct.state();
+                state
+                    .loads
+                    .apply(now, from.link, from.life, datagram.seq, report);
+                drop(state);
+                self.direct.capacity_changed(waiting::Source::Elsewhere);
             }
             gossip::Message::Paces(paces) => self.direct.apply_paces(&paces),
             gossip::Message::Died(request, server) => {
--- a/src/edge/direct/outbound.rs
+++ b/src/edge/direct/outbound.rs
@@ -18,6 +18,7 @@
 use crate::direct::register;
 use crate::direct::tally;
 use crate::direct::ticket;
+use crate::direct::waiting;
 use crate::edge::event::Event;
 use crate::log_event;
 
@@ -241,6 +242,7 @@
             let change = state.backoffs.observe(now, server, notice, rand::random());
             (change, state.backoffs.pause(now, server))
         };
+        self.capacity_changed(waiting::Source::Elsewhere);
         let change = match (notice, change) {
             (backoff::Notice::Invalid, _) => "unreadable",
             (_, Some(backoff::Change::Begun)) => "begins",
--- a/src/edge/direct/turn.rs
+++ b/src/edge/direct/turn.rs
@@ -1,23 +1,15 @@
 //! The queue of long prompts that wait for their turn.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use super::Direct;
 use super::context::Context;
 use crate::direct::load;
 use crate::direct::place;
+use crate::direct::waiting;
 use crate::edge::event::Event;
 use crate::log_event;
 
-/// Poll interval of a prompt that waits for its turn: a third of the shortest segment that is read
-/// by turns.
-const TURN_POLL: Duration = Duration::from_millis(15);
-
-/// Poll interval of a prompt that waits for memory: about two passes of an engine. Each poll
-/// evaluates all servers, which on the smallest VMs costs more than the shorter wait gains.
-const MEMORY_POLL: Duration = Duration::from_millis(100);
-
 /// The place of a long prompt in the queue. Dropping it leaves the queue.
 pub(super) struct Turn {
     direct: Arc<Direct>,
@@ -79,13 +71,9 @@
         }
     }
 
-    /// Time until the next poll.
-    pub(super) fn poll_interval(&self) -> Duration {
-        if self.ticket.is_some() {
-            TURN_POLL
-        } else {
-            MEMORY_POLL
-        }
+    /// Its handle among those that wait for their turn. `None`: it does not.
+    pub(super) fn ticket(&self) -> Option<load::Ticket> {
+        self.ticket
     }
 
     /// Leaves the queue.
@@ -93,6 +81,7 @@
         if let Some(ticket) = self.ticket.take() {
             self.direct.state().loads.dequeue(ticket);
             self.direct.loads_changed.notify_one();
+            self.direct.capacity_changed(waiting::Source::Here);
         }
     }
 }
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -101,6 +101,8 @@
     ServerLeaving = 261, Info, "backend server says in an answer that it leaves";
     RequestPaused = 262, Info, "request told to come back: its backend servers asked for a pause";
     SendWithheld = 263, Info, "not sent: its backend server asked for a pause, or takes nothing new";
+    RequestQueued = 264, Info, "request waits for a backend server with capacity";
+    RequestShed = 265, Warning, "request rejected while it waited: the queue is full, or its caller has left";
 }
 
 impl slog::Value for register::Instance {
