Explain why a request waited and why it was rejected

The log told of a wait for a turn only, and not of the Retry-After.

explain sums up the waits of a request (events 208 and 264), the cause of a rejection in the queue (265) and the Retry-After, which event 204 now names.

--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -33,6 +33,18 @@
 /// The evacuated zones in force at a process changed.
 const ZONES: u64 = 236;
 
+/// A request waits for its turn among the long prompts of all entries.
+const WAITS: u64 = 208;
+
+/// A request was refused or failed.
+const REFUSED: u64 = 204;
+
+/// A request waits for a backend server with capacity.
+const QUEUED: u64 = 264;
+
+/// A request was rejected while it waited.
+const SHED: u64 = 265;
+
 /// Keys that each line bears and that tell nothing of the request.
 const PLAIN: [&str; 6] = ["msg", "level", "ts", "node", "event", "request"];
 
@@ -71,15 +83,51 @@
     let limits = limits(&lines, &course);
     let pauses = pauses(&lines, &course);
     let zones = zones(&lines, &course);
-    for line in course {
+    for line in &course {
         println!("{}", tell(line));
     }
+    for line in waits(&course) {
+        println!("{line}");
+    }
     for line in limits.into_iter().chain(pauses).chain(zones) {
         println!("{}", tell(line));
     }
     Ok(())
 }
 
+/// Why a request waited, how many went before it, and how its wait ended if it was rejected. Empty: it
+/// did not wait.
+fn waits(course: &[&Value]) -> Vec<String> {
+    let number = |line: &Value, key: &str| line[key].as_u64().unwrap_or_default();
+    let mut told: Vec<String> = Vec::new();
+    for line in course {
+        let ahead = number(line, "ahead");
+        match line["event"].as_u64().unwrap_or_default() {
+            WAITS => told.push(format!(
+                "== waited for its turn to be read: {ahead} long prompts of all entries went first"
+            )),
+            QUEUED => told.push(format!(
+                "== waited for a backend server with capacity: {ahead} of its service and class at \
+                 this entry went first, {} waited in all",
+                number(line, "waiting")
+            )),
+            SHED => told.push(match line["cause"].as_str().unwrap_or_default() {
+                "full" => format!(
+                    "== rejected: the queue was full with {} requests, and its rejection lost least",
+                    number(line, "waiting")
+                ),
+                cause => format!("== rejected: {cause} while it waited"),
+            }),
+            REFUSED if !told.is_empty() && line["status"] == 503 => told.push(format!(
+                "== told to come back after {:.3} s (Retry-After)",
+                number(line, "retry_after_ms") as f64 / 1e3
+            )),
+            _ => {}
+        }
+    }
+    told
+}
+
 /// Whether a line tells of a request, by itself or among others.
 fn names(line: &Value, id: &str) -> bool {
     let among = line["requests"].as_str().unwrap_or_default();
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -101,12 +101,12 @@
         let context = match admitted {
             Ok(context) => context,
             Err(rejection) => {
-                span.end(rejection.status, rejection.why);
                 // Other entries have the configuration and servers that this one waited for.
                 let is_ending = lifetime.is_stopping();
                 let retry_after = rejection
                     .retry_after
                     .map(|after| if is_ending { Duration::ZERO } else { after });
+                span.reject(rejection.status, rejection.why, retry_after);
                 return reject(rejection.status, retry_after);
             }
         };
@@ -271,7 +271,7 @@
                 retry::Reply::Failed => (StatusCode::BAD_GATEWAY, None),
                 retry::Reply::TimedOut => (StatusCode::GATEWAY_TIMEOUT, None),
             };
-        span.end(status, &format!("{:?}", failure.cause));
+        span.reject(status, &format!("{:?}", failure.cause), retry_after);
         reject(status, retry_after)
     }
 
--- a/src/edge/direct/span.rs
+++ b/src/edge/direct/span.rs
@@ -26,6 +26,8 @@
     last_event: Instant,
     /// Longest pause between two events passed on.
     max_pause: Duration,
+    /// Retry-after that its rejection names.
+    retry_after: Option<Duration>,
     ended: bool,
 }
 
@@ -44,6 +46,7 @@
             first_event: None,
             last_event: Instant::now(),
             max_pause: Duration::ZERO,
+            retry_after: None,
             ended: false,
         }
     }
@@ -77,6 +80,12 @@
         state.events += events;
     }
 
+    /// Ends the request with a rejection that names a retry-after time, or none.
+    pub(super) fn reject(&mut self, status: StatusCode, cause: &str, after: Option<Duration>) {
+        self.retry_after = after;
+        self.end(status, cause);
+    }
+
     /// Ends the request with a response or a rejection.
     pub(super) fn end(&mut self, status: StatusCode, cause: &str) {
         let took = self.began.elapsed();
@@ -131,7 +140,8 @@
             return;
         }
         log_event!(self.direct.node.log(), event, "request" => &self.id, "status" => status,
-            "cause" => cause, "stage" => state.stage.name(),
+            "cause" => cause, "retry_after_ms" => self.retry_after.unwrap_or_default().as_millis() as u64,
+            "stage" => state.stage.name(),
             "stage_ms" => state.since.elapsed().as_millis() as u64, "server" => server_name(&state),
             "left_ms" => progress::time_left(&state).as_millis() as u64,
             "first_ms" => first_ms, "whole_ms" => whole_ms, "events" => state.events,
--- a/tests/explain_request.rs
+++ b/tests/explain_request.rs
@@ -52,11 +52,22 @@
     ),
 ];
 
+/// The log of a request that waited and was rejected for a full queue.
+const WAITED: &str = concat!(
+    r#"{"msg":"waits","ts":"2026-01-01T00:00:13Z","node":"e","event":264,"request":"w1","class":"short","ahead":12,"waiting":40}"#,
+    "\n",
+    r#"{"msg":"rejected","ts":"2026-01-01T00:00:14Z","node":"e","event":265,"request":"w1","cause":"full","waiting":1024}"#,
+    "\n",
+    r#"{"msg":"request refused or failed","ts":"2026-01-01T00:00:14Z","node":"e","event":204,"request":"w1","status":503,"retry_after_ms":350}"#,
+    "\n"
+);
+
 fn explain(id: &str) -> process::Output {
     let dir = tempfile::tempdir().expect("a folder");
     // The later lines come first: the command brings them in order.
     let paths: Vec<_> = LOGS
         .iter()
+        .chain([&WAITED])
         .rev()
         .enumerate()
         .map(|(at, text)| {
@@ -148,3 +159,14 @@
 fn unknown_request() {
     assert_eq!(explain("r9").status.code(), Some(1));
 }
+
+/// Guards against a rejection for a full queue of which the operator learns no reason.
+#[test]
+fn wait_explained() {
+    let text = String::from_utf8_lossy(&explain("w1").stdout).into_owned();
+    let lines: Vec<&str> = text.lines().collect();
+    assert_eq!(lines.len(), 6, "{text}");
+    assert!(lines[3].contains("12 of its service and class"), "{text}");
+    assert!(lines[4].contains("full with 1024 requests"), "{text}");
+    assert!(lines[5].contains("after 0.350 s"), "{text}");
+}
