--- a/src/direct/retry.rs
+++ b/src/direct/retry.rs
@@ -198,6 +198,11 @@
 /// When to retry a request that is not sent because servers crashed under it. Most likely not at all.
 pub const SUSPECT_RETRY_AFTER: Duration = Duration::from_secs(30);
 
+/// When a request with `left` until its deadline is to be retried, if nothing better is known.
+pub fn retry_after(left: Duration) -> Duration {
+    (left / 6).clamp(RETRY_AFTER.0, RETRY_AFTER.1)
+}
+
 /// The answer to the caller after the last attempt.
 pub fn reply(failure: &Failure, history: History, left: Duration) -> Reply {
     if let Failure::Away(retry_after) | Failure::Limited(retry_after) | Failure::Paused(retry_after) =
@@ -214,7 +219,7 @@
         return Reply::Busy(SUSPECT_RETRY_AFTER);
     }
     if history.ran == 0 && *failure != Failure::Late {
-        return Reply::Busy((left / 6).clamp(RETRY_AFTER.0, RETRY_AFTER.1));
+        return Reply::Busy(retry_after(left));
     }
     match failure {
         Failure::Late => Reply::TimedOut,
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -1,5 +1,6 @@
 //! Metrics of requests: counters and latency histograms.
 
+use std::sync::atomic::AtomicU64;
 use std::time::Duration;
 
 use prometheus_client::encoding::EncodeLabelSet;
@@ -8,8 +9,8 @@
 use prometheus_client::metrics::gauge;
 use prometheus_client::metrics::histogram;
 
-use crate::direct::forecast;
 use crate::direct::tally;
+use crate::direct::waiting;
 use crate::edge::metric;
 
 /// Upper bounds of latency buckets in seconds: from a network round trip to the longest deadline.
@@ -68,6 +69,9 @@
     predicted_wait: ClassHistograms,
     rejected_waiting: family::Family<Caused, counter::Counter>,
     running: gauge::Gauge,
+    waiting: family::Family<Classed, gauge::Gauge>,
+    waiting_bytes: gauge::Gauge,
+    waiting_oldest: family::Family<Classed, gauge::Gauge<f64, AtomicU64>>,
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
     sent_in_pause: family::Family<For, counter::Counter>,
@@ -100,6 +104,9 @@
             predicted_wait: family::Family::new_with_constructor(latencies as fn() -> _),
             rejected_waiting: family::Family::default(),
             running: gauge::Gauge::default(),
+            waiting: family::Family::default(),
+            waiting_bytes: gauge::Gauge::default(),
+            waiting_oldest: family::Family::default(),
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
             sent_in_pause: family::Family::default(),
@@ -179,6 +186,13 @@
                 own.datagram_bytes,
             );
             sub.register("running", "Requests in progress", own.running);
+            sub.register("waiting", "Requests that wait for a place", own.waiting);
+            sub.register("waiting_bytes", "Bytes of their bodies", own.waiting_bytes);
+            sub.register(
+                "waiting_oldest_seconds",
+                "Time since the oldest of them arrived",
+                own.waiting_oldest,
+            );
         });
         counts
     }
@@ -233,6 +247,23 @@
         self.datagram_bytes.get_or_create(&label).inc_by(bytes);
     }
 
+    /// Sets what waits for a place in a class.
+    pub fn set_waiting(&self, class: waiting::Class, summary: waiting::Summary) {
+        let label = Classed {
+            class: class.name().to_owned(),
+        };
+        let requests = i64::try_from(summary.requests).unwrap_or(i64::MAX);
+        self.waiting.get_or_create(&label).set(requests);
+        let oldest = self.waiting_oldest.get_or_create(&label);
+        oldest.set(summary.oldest.as_secs_f64());
+    }
+
+    /// Sets the bytes of the bodies of all that wait.
+    pub fn set_waiting_bytes(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.waiting_bytes.set(bytes);
+    }
+
     /// A caller's request started.
     pub fn request_started(&self) {
         self.running.inc();
@@ -279,8 +310,8 @@
     }
 
     /// A request was rejected before it was sent.
-    pub fn rejected_waiting(&self, cause: forecast::Cause) {
-        let cause = cause.name().to_owned();
+    pub fn rejected_waiting(&self, cause: &str) {
+        let cause = cause.to_owned();
         self.rejected_waiting.get_or_create(&Caused { cause }).inc();
     }
 
--- a/src/edge/direct/rejection.rs
+++ b/src/edge/direct/rejection.rs
@@ -145,7 +145,7 @@
         cause: forecast::Cause,
         after: Duration,
     ) -> retry::Failure {
-        self.counts.rejected_waiting(cause);
+        self.counts.rejected_waiting(cause.name());
         if self.log_limiter.allow(Event::RequestAway, self.node.now()) {
             let left = context.time_left();
             let prompt = context.need().prompt;
