A short prompt without a place does not hold up those behind it

Cause: a short prompt compares the servers that it draws, so that none of them has room says little about the others.

--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -400,8 +400,8 @@
                 return Search::Assigned(Box::new(assignment));
             }
         }
-        // The servers that it may not use may have capacity for those behind it.
-        if has_limits || context.is_confined() {
+        // The servers that it may not use, or did not draw, may have capacity for those behind it.
+        if has_limits || context.is_confined() || context.class() == waiting::Class::Short {
             return Search::passes(self.node.now() + FULL_PAUSE);
         }
         Search::Waits(waiting::Outcome::Blocks)
