Wake waiting calls and long prompts in time

A call woken at the last millisecond of its wait was tried again only 100 ms later, which is half of its objective. Long prompts that are not the first in their lane were not looked at for congestion.

Requests are due 2 ms after the last moment of their wait, and long prompts each 100 ms.

--- a/src/edge/direct/queue.rs
+++ b/src/edge/direct/queue.rs
@@ -29,6 +29,13 @@
 /// exits.
 const EXIT_POLL: Duration = Duration::from_millis(100);
 
+/// Time between two looks of a long prompt that is not the first whether it is rejected for congestion.
+const CONGESTION_POLL: Duration = Duration::from_millis(100);
+
+/// Time after the last moment at which a request may wait, so that it may not when it is woken. That
+/// moment is known to a millisecond.
+const DUE_MARGIN: Duration = Duration::from_millis(2);
+
 /// Time until the timer looks again while nothing waits. A new request wakes it earlier.
 const IDLE_WAIT: Duration = Duration::from_secs(60);
 
@@ -278,6 +285,10 @@
             }),
         ),
     };
+    let due_at = match class {
+        waiting::Class::Long => CONGESTION_POLL,
+        waiting::Class::Short | waiting::Class::Plain => due_at + DUE_MARGIN,
+    };
     waiting::Item {
         service: context.service.clone(),
         class,
@@ -289,7 +300,7 @@
         abandoned_at: now + budget.until_abandoned,
         deadline: now + budget.until_deadline,
         start_by: now + start_by,
-        due_at: now + due_at.max(Duration::from_millis(1)),
+        due_at: now + due_at,
         bytes: context.body.len(),
         prompt: engine
             .filter(|_| class == waiting::Class::Long)
--- a/tests/waiting_order.rs
+++ b/tests/waiting_order.rs
@@ -12,6 +12,7 @@
 use proptest::prop_assert_eq;
 use proptest::proptest;
 use wigeonbarrow::direct::load;
+use wigeonbarrow::direct::place;
 use wigeonbarrow::direct::waiting;
 use wigeonbarrow::direct::waiting::Class;
 use wigeonbarrow::direct::waiting::Enqueued;
@@ -282,6 +283,47 @@
     assert!(unsorted <= 2, "{placed:?}");
 }
 
+/// Guards against a call that is sent to a full server while it could wait, and against one that
+/// waits until it is late.
+#[test]
+fn plain_calls() {
+    let server = |readers: u32| place::Server {
+        key: u64::from(readers),
+        near: true,
+        slots: 6,
+        load: load::Load {
+            readers,
+            ..load::Load::default()
+        },
+        pace: 1.0,
+        failing: 0.0,
+    };
+    assert!(waiting::are_full(&[server(6), server(7)]));
+    assert!(!waiting::are_full(&[server(6), server(5)]));
+    let objective = ms(200);
+    let lasts = waiting::longest(objective, |after| {
+        waiting::may_hold(objective, ms(30) + after)
+    });
+    assert_eq!(lasts, ms(69), "to half of the objective");
+    let mut waiting = waiting::Waiting::new(queue::Bounds {
+        requests: 4,
+        bytes: 400,
+    });
+    let call = waiting::Item {
+        class: Class::Plain,
+        due_at: ms(100),
+        ..item(ms(0), 2, "w")
+    };
+    for _ in 0..2 {
+        waiting.enqueue(ms(0), call.clone());
+    }
+    let first = waiting.notify(ms(1), Source::Here);
+    assert!(waiting.report(ms(1), first[0], Outcome::Blocks).is_empty());
+    assert_eq!(waiting.tick(ms(99)).len(), 0);
+    // Both are sent when their time comes, the second not only once the first is gone.
+    assert_eq!(waiting.tick(ms(100)).len(), 2);
+}
+
 /// One step of a random course.
 #[derive(Clone, Debug)]
 enum Step {
