--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -452,22 +452,6 @@
         }
         Err(retry::Failure::Paused(retry_after))
     }
-
-    /// Chooses a server if the only servers are those that name a limit, or none at all.
-    async fn choose_only_limited(
-        self: &Arc<Self>,
-        context: &Context,
-    ) -> Result<Assignment, retry::Failure> {
-        match self.choose_limited(context, Reason::OnlyLimited).await {
-            Ok(Some(assignment)) => Ok(assignment),
-            Ok(None) if context.lifetime.is_stopping() => Err(retry::Failure::Ending),
-            Ok(None) if eligibility::is_excluded(&self.state(), self.node.now(), context) => {
-                Err(retry::Failure::Excluded)
-            }
-            Ok(None) => Err(retry::Failure::Unsent),
-            Err(retry_after) => Err(retry::Failure::Limited(retry_after)),
-        }
-    }
 }
 
 /// Finds a place for a long prompt on `servers` that can read it while they generate other
--- a/src/edge/direct/grant.rs
+++ b/src/edge/direct/grant.rs
@@ -21,6 +21,7 @@
 use crate::direct::place::single;
 use crate::direct::quota;
 use crate::direct::register;
+use crate::direct::retry;
 use crate::direct::subset;
 use crate::edge::event::Event;
 use crate::log_event;
@@ -123,6 +124,22 @@
         Ok(Some(assignment))
     }
 
+    /// Chooses a server if the only servers are those that name a limit, or none at all.
+    pub(super) async fn choose_only_limited(
+        self: &Arc<Self>,
+        context: &Context,
+    ) -> Result<Assignment, retry::Failure> {
+        match self.choose_limited(context, Reason::OnlyLimited).await {
+            Ok(Some(assignment)) => Ok(assignment),
+            Ok(None) if context.lifetime.is_stopping() => Err(retry::Failure::Ending),
+            Ok(None) if eligibility::is_excluded(&self.state(), self.node.now(), context) => {
+                Err(retry::Failure::Excluded)
+            }
+            Ok(None) => Err(retry::Failure::Unsent),
+            Err(retry_after) => Err(retry::Failure::Limited(retry_after)),
+        }
+    }
+
     /// Suitable servers that name a limit, the best first.
     fn candidates(&self, context: &Context, reason: Reason) -> Vec<Candidate> {
         let now = self.node.now();
