Streams are not resumed at servers that could not be reached, unless they answered since

Cause: a stream whose server failed was resumed at a server that was known to be silent if no other was healthy, and used up its last run there until its deadline. A server that rejects is paused too, but it is alive.

Change: health::Health::is_unreachable counts only pauses for not being reached, and ends with any answer.

--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -36,6 +36,8 @@
     rejected: u32,
     /// It is sent no new requests before this time.
     paused_until: Duration,
+    /// End of its last pause for not being reached. 0 once it has answered anything.
+    unreachable_until: Duration,
     /// Moving average of failed responses, from 0 to 1.
     failure_rate: f64,
     /// When `failure_rate` was last updated.
@@ -57,6 +59,7 @@
         server.unreachable = (server.unreachable + 1).min(8);
         let pause = FIRST_PAUSE * 2u32.saturating_pow(server.unreachable - 1);
         server.paused_until = now + pause.min(MAX_PAUSE);
+        server.unreachable_until = server.paused_until;
         server.paused_until
     }
 
@@ -67,6 +70,7 @@
         let pause = FIRST_REJECTED_PAUSE * 2u32.saturating_pow(server.rejected - 1);
         let until = now + pause.min(MAX_REJECTED_PAUSE);
         server.paused_until = server.paused_until.max(until);
+        server.unreachable_until = Duration::ZERO;
     }
 
     /// Notes a response. `ok`: it was correct and in time.
@@ -76,6 +80,7 @@
             server.unreachable = 0;
             server.rejected = 0;
             server.paused_until = Duration::ZERO;
+            server.unreachable_until = Duration::ZERO;
         }
         let before = decayed(server, now);
         server.failure_rate = before + NEWEST_WEIGHT * (f64::from(u8::from(!ok)) - before);
@@ -103,12 +108,12 @@
             .is_some_and(|server| now < server.paused_until)
     }
 
-    /// Whether a server is currently sent no new requests because it could not be reached or
-    /// crashed.
+    /// Whether a server is in a pause because it could not be reached or crashed, and has not
+    /// answered since.
     pub fn is_unreachable(&self, now: Duration, instance: &register::Instance) -> bool {
         self.by_instance
             .get(instance)
-            .is_some_and(|server| server.unreachable > 0 && now < server.paused_until)
+            .is_some_and(|server| now < server.unreachable_until)
     }
 
     /// Rate of failed responses, from 0 to 1; 0 if it is less than [`MIN_FAILURE_RATE`].
--- a/tests/answer_slack.rs
+++ b/tests/answer_slack.rs
@@ -15,12 +15,14 @@
 use wigeonbarrow::direct::deadline::Budget;
 use wigeonbarrow::direct::deadline::Rest;
 use wigeonbarrow::direct::deadline::Silence;
+use wigeonbarrow::direct::health::Health;
 use wigeonbarrow::direct::lane;
 use wigeonbarrow::direct::load::Load;
 use wigeonbarrow::direct::place;
 use wigeonbarrow::direct::place::Need;
 use wigeonbarrow::direct::place::Place;
 use wigeonbarrow::direct::place::Server;
+use wigeonbarrow::direct::register::Instance;
 
 #[path = "common/engines.rs"]
 mod engines;
@@ -172,6 +174,25 @@
     assert!(!can_end(0, 0, 0), "its deadline has passed");
 }
 
+/// A server that rejects is alive: a stream may be resumed there.
+#[test]
+fn unreachable_until_answer() {
+    let server = Instance {
+        id: "i-0".to_owned(),
+        born: None,
+    };
+    let mut health = Health::default();
+    assert!(!health.is_unreachable(ms(0), &server));
+    let until = health.record_unreachable(ms(0), &server);
+    assert!(health.is_unreachable(until - ms(1), &server));
+    assert!(!health.is_unreachable(until, &server));
+    health.record_rejection(ms(1), &server);
+    assert!(!health.is_unreachable(ms(2), &server));
+    health.record_unreachable(ms(3), &server);
+    health.record_response(ms(4), &server, true);
+    assert!(!health.is_unreachable(ms(5), &server));
+}
+
 fn arb_servers() -> impl Strategy<Value = Vec<Server>> {
     let load = (0..16_u32, 0..20_000_u64, 0..400_u32, 0..3_u32);
     prop::collection::vec(load, 1..12).prop_map(|loads| {
