--- a/tests/answer_slack.rs
+++ b/tests/answer_slack.rs
@@ -184,7 +184,7 @@
     let mut health = Health::default();
     assert!(!health.is_unreachable(ms(0), &server));
     let until = health.record_unreachable(ms(0), &server);
-    assert!(health.is_unreachable(until - ms(1), &server));
+    assert!(health.is_unreachable(until.saturating_sub(ms(1)), &server));
     assert!(!health.is_unreachable(until, &server));
     health.record_rejection(ms(1), &server);
     assert!(!health.is_unreachable(ms(2), &server));
