--- a/src/direct/place.rs
+++ b/src/direct/place.rs
@@ -67,7 +67,7 @@
     pub objective: Duration,
     /// Time left until the deadline of the response.
     pub left: Duration,
-    /// Mean ratio of the time that answers of its service lately took to be written to the modelled
+    /// Mean ratio of the time that recent answers of its service took to be written to the modelled
     /// time, see [`super::writing`].
     pub write_ratio: f64,
     /// Levels by which its priority is below that of the most urgent route of its service. 0 where
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -192,7 +192,7 @@
         budget.with_exit(self.lifetime.remaining())
     }
 
-    /// [`Self::need`], with the write time that answers of its service lately took.
+    /// [`Self::need`], with the write time that recent answers of its service took.
     pub fn need_by(&self, known: &writing::Writing) -> place::Need {
         place::Need {
             write_ratio: known.mean_ratio(&self.service),
