Review: nothing is sent past its deadline, load is no fault, ranks and returns

Cause, by a reviewer's reading: a process that was frozen could send a request past its deadline; if all servers were doubted, a call could go to a dead one; a slow plain server under load was taken as unreachable by all entries; a prompt's older rank counted as one ahead of it; free servers were counted in an unsorted list; callers that cannot be in time booked a return.

--- a/src/direct/forecast.rs
+++ b/src/direct/forecast.rs
@@ -253,9 +253,14 @@
         } else {
             None
         };
+        let booked = self.booked;
         let verdict = cause.map_or(Verdict::Keep, |cause| {
             Verdict::Reject(cause, self.schedule_return(now, need))
         });
+        if cause == Some(Cause::Deadline) {
+            // It cannot be in time when it returns either.
+            self.booked = booked;
+        }
         Outlook { wait, verdict }
     }
 
--- a/src/direct/health.rs
+++ b/src/direct/health.rs
@@ -43,7 +43,7 @@
     rejected: u32,
     /// It is sent no new requests before this time.
     paused_until: Duration,
-    /// End of its last pause for not being reached. 0 once it has answered anything.
+    /// End of its last pause for not being reached. 0 once it has answered, a rejection included.
     unreachable_until: Duration,
     /// Moving average of failed responses, from 0 to 1.
     failure_rate: f64,
--- a/src/direct/place/long.rs
+++ b/src/direct/place/long.rs
@@ -42,8 +42,12 @@
         order = (0..servers.len()).collect();
     }
     place::sort_by_busy(need, servers, &mut order);
-    let busy: Vec<f64> = order.iter().map(|at| turn_ms(&servers[*at])).collect();
     let is_wide = place::is_wide(servers);
+    if is_wide {
+        // Short segments do not count, so a server with some may be free before another.
+        order.sort_by(|one, other| turn_ms(&servers[*one]).total_cmp(&turn_ms(&servers[*other])));
+    }
+    let busy: Vec<f64> = order.iter().map(|at| turn_ms(&servers[*at])).collect();
     order.truncate(width(engine, need, &busy, is_wide));
     leave_out_slow(servers, &mut order);
     let mut order = without_writers(engine, need, servers, order);
--- a/src/edge/direct/attempt.rs
+++ b/src/edge/direct/attempt.rs
@@ -240,6 +240,10 @@
         let may_reuse = context.route.repeatable() || REUSE_FOR_UNSAFE;
         let conn = self.pool.conn(&server.life, server.addr, may_reuse).await;
         let conn = conn.map_err(|_| retry::Failure::Unsent)?;
+        // This process may not have run for a while.
+        if context.is_past_deadline() {
+            return Err(retry::Failure::Late);
+        }
         let request = self.build_request(context, &assignment, memory.as_ref(), after);
         if !self.may_run(context) {
             return Err(retry::Failure::Suspect);
@@ -294,7 +298,9 @@
                 }
                 () = &mut unanswered, if !is_answered => {
                     is_answered = true;
-                    self.pause_server_everywhere(&attempt.server.life, "a call has no answer");
+                    if !self.is_overloaded(&attempt.server) {
+                        self.pause_server_everywhere(&attempt.server.life, "a call has no answer");
+                    }
                     continue;
                 }
                 cause = self.left(context, &attempt.server, timeouts) => {
@@ -490,7 +496,7 @@
                 self.pause_server(&server.life, "silent");
                 self.watch_silence(suspicion::Run::new(context), server);
             }
-            retry::Failure::Slow if context.is_call() => {
+            retry::Failure::Slow if context.is_call() && !self.is_overloaded(server) => {
                 self.pause_server_everywhere(&server.life, "a call has no answer");
             }
             retry::Failure::Slow | retry::Failure::Failed => {
--- a/src/edge/direct/choose.rs
+++ b/src/edge/direct/choose.rs
@@ -263,6 +263,15 @@
         is_better
     }
 
+    /// Whether more requests are at a server than it serves at once: then it answers late without a
+    /// fault.
+    pub(super) fn is_overloaded(&self, server: &register::Record) -> bool {
+        let now = self.node.now();
+        let view = self.state().loads.view(now);
+        let load = view.get(&load::server_key(&server.life));
+        load.is_some_and(|load| load.readers + load.writers > server.slots)
+    }
+
     /// Load and health of servers of one subset of the fleet, as placement needs them.
     pub(super) fn servers(
         &self,
@@ -324,6 +333,10 @@
         let mut turn = turn::Turn::new(self);
         let mut wait = queue::Wait::new(self);
         loop {
+            // Its older rank would count as another prompt ahead of it.
+            if turn.ticket().is_some() {
+                turn.wait(context);
+            }
             self.sheds(context)?;
             let outcome = if wait.is_behind(context) {
                 waiting::Outcome::Blocks
--- a/src/edge/direct/context.rs
+++ b/src/edge/direct/context.rs
@@ -80,6 +80,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Whether its deadline has passed.
+    pub fn is_past_deadline(&self) -> bool {
+        self.caller_time_left().is_zero()
+    }
+
     /// Time within which the rest of its response is most likely generated.
     pub fn write_time_bound(&self, known: &writing::Writing) -> Duration {
         known.upper_bound(&self.service, self.modelled_write_time())
--- a/src/edge/direct/eligibility.rs
+++ b/src/edge/direct/eligibility.rs
@@ -121,9 +121,11 @@
     let healthy = ready
         .iter()
         .filter(|server| is_healthy(state, now, context, server.record, server.age));
-    let (limited, unlimited): (Vec<&register::Record>, Vec<&register::Record>) = healthy
-        .map(|server| server.record)
-        .partition(|record| state.is_limited(now, &record.life));
+    let healthy: Vec<&register::Record> = healthy.map(|server| server.record).collect();
+    let (limited, unlimited): (Vec<&register::Record>, Vec<&register::Record>) =
+        without_doubted(state, now, context, healthy)
+            .into_iter()
+            .partition(|record| state.is_limited(now, &record.life));
     Healthy {
         unlimited: unlimited.into_iter().cloned().collect(),
         has_limited: !limited.is_empty(),
@@ -180,8 +182,23 @@
     all.into_iter().map(|(record, _)| record.clone()).collect()
 }
 
-/// Whether a server was heard recently, is not paused, and did not fail this request before. A call
-/// that may not be repeated is lost with its server, so it avoids doubted ones too.
+/// Leaves out doubted servers for a call that may not be repeated, since it is lost with its server,
+/// unless all are doubted.
+fn without_doubted<'a>(
+    state: &super::State,
+    now: Duration,
+    context: &Context,
+    healthy: Vec<&'a register::Record>,
+) -> Vec<&'a register::Record> {
+    if !context.is_call() || context.route.repeatable() {
+        return healthy;
+    }
+    let is_sure = |server: &&register::Record| !state.healths.is_doubted(now, &server.life);
+    let sure: Vec<&register::Record> = healthy.iter().copied().filter(is_sure).collect();
+    if sure.is_empty() { healthy } else { sure }
+}
+
+/// Whether a server was heard recently, is not paused, and did not fail this request before.
 fn is_healthy(
     state: &super::State,
     now: Duration,
@@ -190,9 +207,5 @@
     age: Duration,
 ) -> bool {
     let has_not_failed = !context.failed_servers.contains(&server.life);
-    let is_lost_with_server = context.is_call() && !context.route.repeatable();
-    age < HEARTBEAT_TIMEOUT
-        && has_not_failed
-        && !state.healths.is_paused(now, &server.life)
-        && !(is_lost_with_server && state.healths.is_doubted(now, &server.life))
+    age < HEARTBEAT_TIMEOUT && has_not_failed && !state.healths.is_paused(now, &server.life)
 }
