Review, case 3: a request that crashes replicas is forgotten by all at once

Cause: the crashes under a request count for 60 s after the last one. After that every entry sends it again, until the next crash is known everywhere.

Change: review/3 plays a client that sends such a request a minute later and repeats it at once three times. The stand-in replica gets a time for which it runs a request before it crashes.

--- a/review/standin/src/late_beat.rs
+++ b/review/standin/src/late_beat.rs
@@ -9,6 +9,7 @@
 use crate::client;
 use crate::replica;
 use crate::replica::Replica;
+use crate::replica::Times;
 use crate::site::CORE;
 use crate::site::Site;
 
@@ -34,8 +35,11 @@
 /// Clients of the restarted machine, each with one request at a time.
 const CLIENTS: usize = 4;
 
-/// Work of a request.
-const WORK: Duration = Duration::from_millis(60);
+/// Work of a request. None crashes a replica.
+const TIMES: Times = Times {
+    work: Duration::from_millis(60),
+    crash: Duration::ZERO,
+};
 
 /// Returns whether the rule was broken.
 pub fn play(run: &Run) -> io::Result<bool> {
@@ -51,7 +55,7 @@
     let replicas: Vec<Arc<Replica>> = (0..REPLICAS)
         .map(|at| {
             let name = format!("{}", (b'a' + at as u8) as char);
-            Replica::start(&name, site.replica(at), WORK, kept.clone(), record)
+            Replica::start(&name, site.replica(at), TIMES, kept.clone(), record)
         })
         .collect();
     client::configure(site)?;
--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 mod client;
+mod expiry;
 mod http;
 mod late_beat;
 mod poison;
@@ -52,6 +53,7 @@
     let machines = match case {
         "poison" => poison::MACHINES,
         "late-beat" => late_beat::MACHINES,
+        "expiry" => expiry::MACHINES,
         _ => return Err(io::Error::other("no such case")),
     };
     let site = site::Site::start(root, machines, &record)?;
@@ -69,6 +71,7 @@
     };
     let broken = match case {
         "poison" => poison::play(&run),
+        "expiry" => expiry::play(&run),
         _ => late_beat::play(&run),
     };
     if let Ok(logs) = std::env::var("KEEP_LOGS") {
--- a/review/standin/src/poison.rs
+++ b/review/standin/src/poison.rs
@@ -13,6 +13,7 @@
 use crate::client;
 use crate::replica::POISON;
 use crate::replica::Replica;
+use crate::replica::Times;
 use crate::site;
 use crate::site::CORE;
 use crate::site::Site;
@@ -40,41 +41,36 @@
 /// Time from an answer to another client to its next request.
 const OTHERS_PAUSE: Duration = Duration::from_millis(50);
 
-/// Returns whether the rule was broken.
-pub fn play(run: &Run) -> io::Result<bool> {
+/// Starts the replicas and the configuration. Returns once all machines are in touch. `runs_for`: time
+/// for which a replica runs the request before it crashes.
+pub fn start(run: &Run, runs_for: Duration) -> io::Result<Vec<Arc<Replica>>> {
     let site = &run.site;
     let controls = site.controls();
-    let replicas: Vec<Arc<Replica>> = (0..REPLICAS)
-        .map(|at| {
-            let name = format!("{}", (b'a' + at as u8) as char);
-            let addr = site.replica(at);
-            Replica::start(&name, addr, WORK, controls.clone(), &run.record)
-        })
-        .collect();
+    let replicas = (0..REPLICAS).map(|at| {
+        let name = format!("{}", (b'a' + at as u8) as char);
+        let times = Times {
+            work: WORK,
+            crash: runs_for,
+        };
+        let addr = site.replica(at);
+        Replica::start(&name, addr, times, controls.clone(), &run.record)
+    });
+    let replicas = replicas.collect();
     client::configure(site)?;
     for at in 0..MACHINES {
         site.await_ready(at)?;
     }
     thread::sleep(IN_TOUCH);
+    Ok(replicas)
+}
+
+/// Returns whether the rule was broken.
+pub fn play(run: &Run) -> io::Result<bool> {
+    let site = &run.site;
+    let replicas = start(run, Duration::ZERO)?;
     let others = Others::start(run);
-    let mut poison = Poison {
-        run,
-        replicas: &replicas,
-        sent: Vec::new(),
-    };
-    // It crashes three replicas, and is then known to all machines.
-    for at in [CORE, CORE + 1, CORE + 2] {
-        poison.send(at)?;
-    }
-    let third = poison.crashed_third()?;
-    run.record.note(&format!(
-        "the request has crashed its third replica at {:.3} s",
-        third.as_secs_f64()
-    ));
-    thread::sleep(CONTACT + Duration::from_millis(300));
-    for at in 0..MACHINES {
-        poison.send(at)?;
-    }
+    let mut poison = Poison::new(run, &replicas);
+    let third = poison.crash_three()?;
     // The machines without a disk are restarted in turn. The request comes again at each of them
     // when it is in touch again.
     for at in CORE..MACHINES {
@@ -90,41 +86,83 @@
             }
         }
     }
-    let (asked, lost) = others.end();
-    run.record.note(&format!(
-        "requests of others that run once at most: {asked} sent, {lost} got no answer or 502"
-    ));
-    let late = poison.late_retries(third);
-    run.record.note(&format!(
-        "retries that reached replicas later than contact_ms after the third crash: {} \
-         (the rule allows {MAX_RETRIES}): {}",
-        late.len(),
-        late.join(" ")
-    ));
-    Ok(late.len() > MAX_RETRIES)
+    Ok(poison.is_broken(third, others.end()))
 }
 
 /// The request that crashes replicas, with the ids under which it came.
-struct Poison<'a> {
+pub struct Poison<'a> {
     run: &'a Run,
     replicas: &'a [Arc<Replica>],
     sent: Vec<String>,
 }
 
-impl Poison<'_> {
+impl<'a> Poison<'a> {
+    pub fn new(run: &'a Run, replicas: &'a [Arc<Replica>]) -> Self {
+        Self {
+            run,
+            replicas,
+            sent: Vec::new(),
+        }
+    }
+
+    /// Draws the id of the next client attempt.
+    pub fn new_id(&mut self) -> String {
+        let id = format!("{POISON}-{}", self.sent.len() + 1);
+        self.sent.push(id.clone());
+        id
+    }
+
+    /// When it last ran.
+    pub fn last_run(&self) -> Option<Duration> {
+        self.runs().last().map(|(at, _)| *at)
+    }
+
+    /// Lets it crash three replicas, after which all machines reject it. Returns when it crashed the
+    /// third.
+    pub fn crash_three(&mut self) -> io::Result<Duration> {
+        for at in [CORE, CORE + 1, CORE + 2] {
+            self.send(at)?;
+        }
+        let third = self.crashed_third()?;
+        self.run.record.note(&format!(
+            "the request has crashed its third replica at {:.3} s",
+            third.as_secs_f64()
+        ));
+        thread::sleep(CONTACT + Duration::from_millis(300));
+        for at in 0..MACHINES {
+            self.send(at)?;
+        }
+        Ok(third)
+    }
+
+    /// Whether the rule was broken. `others`: the requests of other clients, and how many were lost.
+    pub fn is_broken(&self, third: Duration, others: (usize, usize)) -> bool {
+        let (asked, lost) = others;
+        self.run.record.note(&format!(
+            "requests of others that run once at most: {asked} sent, {lost} got no answer or 502"
+        ));
+        let late = self.late_retries(third);
+        self.run.record.note(&format!(
+            "retries that reached replicas later than contact_ms after the third crash: {} \
+             (the rule allows {MAX_RETRIES}): {}",
+            late.len(),
+            late.join(" ")
+        ));
+        late.len() > MAX_RETRIES
+    }
+
     /// Sends it to a machine once all replicas serve again. Returns the status.
-    fn send(&mut self, at: usize) -> io::Result<u16> {
+    pub fn send(&mut self, at: usize) -> io::Result<u16> {
         site::await_that("all replicas are up", || {
             self.replicas.iter().all(|replica| replica.is_up())
         })?;
         // Their next heartbeats have come by then.
         thread::sleep(Duration::from_millis(1_400));
-        let id = format!("{POISON}-{}", self.sent.len() + 1);
+        let id = self.new_id();
         let site = &self.run.site;
         let to = (Site::name(at), site.front(at));
         let path = format!("/lookup/{POISON}");
         let status = client::ask(&self.run.record, (&to.0, to.1), "GET", &path, &id);
-        self.sent.push(id);
         Ok(status)
     }
 
@@ -159,14 +197,14 @@
 }
 
 /// Other clients, whose requests run once at most. They send to the core only, which is not restarted.
-struct Others {
+pub struct Others {
     ends: Arc<AtomicBool>,
     counts: Arc<Mutex<(usize, usize)>>,
     threads: Vec<thread::JoinHandle<()>>,
 }
 
 impl Others {
-    fn start(run: &Run) -> Self {
+    pub fn start(run: &Run) -> Self {
         let ends = Arc::new(AtomicBool::new(false));
         let counts: Arc<Mutex<(usize, usize)>> = Arc::default();
         let threads = (0..CORE).map(|at| {
@@ -195,7 +233,7 @@
     }
 
     /// Ends them. Returns how many requests they sent, and how many were lost.
-    fn end(self) -> (usize, usize) {
+    pub fn end(self) -> (usize, usize) {
         self.ends.store(true, Ordering::SeqCst);
         for thread in self.threads {
             thread.join().expect("a client ends");
--- a/review/standin/src/replica.rs
+++ b/review/standin/src/replica.rs
@@ -30,6 +30,15 @@
 /// Path of requests that crash each replica which begins to run them.
 pub const POISON: &str = "poison";
 
+/// How long a replica works.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// At a request.
+    pub work: Duration,
+    /// At a request that crashes it, until then.
+    pub crash: Duration,
+}
+
 /// A request that reached a replica.
 #[derive(Clone, Debug)]
 pub struct Arrival {
@@ -52,8 +61,7 @@
 pub struct Replica {
     name: String,
     pub addr: SocketAddr,
-    /// Time that a request takes.
-    work: Duration,
+    times: Times,
     record: Arc<Record>,
     nodes: Vec<SocketAddr>,
     life: Mutex<Life>,
@@ -69,7 +77,7 @@
     pub fn start(
         name: &str,
         addr: SocketAddr,
-        work: Duration,
+        times: Times,
         nodes: Vec<SocketAddr>,
         record: &Arc<Record>,
     ) -> Arc<Self> {
@@ -82,7 +90,7 @@
         let replica = Arc::new(Self {
             name: name.to_owned(),
             addr,
-            work,
+            times,
             record: Arc::clone(record),
             nodes,
             life: Mutex::new(life),
@@ -238,13 +246,14 @@
             return Some(whole("421 Misdirected Request", &echo, ""));
         }
         if path.contains(POISON) {
+            thread::sleep(self.times.crash);
             if self.end_life() {
                 self.record
                     .note(&format!("replica {life} crashes under request {id}"));
             }
             return None;
         }
-        thread::sleep(self.work);
+        thread::sleep(self.times.work);
         if self.life.lock().expect("life lock").number != number || !self.is_up() {
             self.record
                 .note(&format!("request {id} is lost with replica {life}"));
