Review: scripts end what they start, also without their shell

Cause: a script that is killed left its processes and its temporary folder behind, and it called a program that not every machine has. Change: the driver ends all when its shell is gone, removes its folder, and sends signals by the shell.

--- a/review/standin/src/main.rs
+++ b/review/standin/src/main.rs
@@ -3,12 +3,14 @@
 //! could not run.
 
 use std::io;
+use std::os::unix;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 mod client;
 mod expiry;
@@ -22,6 +24,9 @@
 /// Longest run.
 const MAX_RUN: Duration = Duration::from_secs(105);
 
+/// Time between two looks whether the run must end.
+const WATCH_PERIOD: Duration = Duration::from_millis(500);
+
 /// What a case sees of its run.
 pub struct Run {
     pub site: Arc<site::Site>,
@@ -57,13 +62,7 @@
         _ => return Err(io::Error::other("no such case")),
     };
     let site = site::Site::start(root, machines, &record)?;
-    let watched = Arc::clone(&site);
-    thread::spawn(move || {
-        thread::sleep(MAX_RUN);
-        watched.kill_all();
-        eprintln!("the case could not run: it takes too long");
-        process::exit(2);
-    });
+    watch(&site);
     let run = Run {
         site: Arc::clone(&site),
         record: Arc::clone(&record),
@@ -77,7 +76,7 @@
     if let Ok(logs) = std::env::var("KEEP_LOGS") {
         site.keep_logs(Path::new(&logs))?;
     }
-    site.kill_all();
+    site.end();
     let broken = broken?;
     record.note(if broken {
         "RESULT: the rule was broken"
@@ -86,3 +85,18 @@
     });
     Ok(broken)
 }
+
+/// Ends all processes if the run takes too long, or if its shell has ended.
+fn watch(site: &Arc<site::Site>) {
+    let site = Arc::clone(site);
+    let parent = unix::process::parent_id();
+    let began = Instant::now();
+    thread::spawn(move || {
+        while began.elapsed() < MAX_RUN && unix::process::parent_id() == parent {
+            thread::sleep(WATCH_PERIOD);
+        }
+        site.end();
+        eprintln!("the case could not run: it takes too long, or its shell has ended");
+        process::exit(2);
+    });
+}
--- a/review/standin/src/site.rs
+++ b/review/standin/src/site.rs
@@ -50,9 +50,7 @@
 
 impl Drop for Site {
     fn drop(&mut self) {
-        self.kill_all();
-        // Nothing depends on it any more.
-        let _ = fs::remove_dir_all(&self.dir);
+        self.end();
     }
 }
 
@@ -204,9 +202,10 @@
                 .ok_or_else(|| io::Error::other("it does not run"))?
         };
         self.record.note(&format!("SIGTERM to {}", Self::name(at)));
-        let pid = child.id().to_string();
-        process::Command::new("kill")
-            .args(["-TERM", &pid])
+        // By the shell: not every machine has the program.
+        let command = format!("kill -TERM {}", child.id());
+        process::Command::new("sh")
+            .args(["-c", &command])
             .status()?;
         child.wait()?;
         self.record
@@ -214,8 +213,8 @@
         Ok(())
     }
 
-    /// Kills all processes.
-    pub fn kill_all(&self) {
+    /// Kills all processes and removes their files.
+    pub fn end(&self) {
         let mut children = self.children.lock().expect("children lock");
         for child in children.iter_mut().filter_map(Option::take) {
             let mut child = child;
@@ -223,6 +222,8 @@
             let _ = child.kill();
             let _ = child.wait();
         }
+        // Nothing depends on it any more.
+        let _ = fs::remove_dir_all(&self.dir);
     }
 
     /// Copies the logs of the processes to `folder`.
