Test the crowds of clients that do not behave

Cause: clients outside the limits ended a process, which ran out of memory. No test had such clients. The bounds are the limits of the machine.

--- a/testbed/src/fleet.rs
+++ b/testbed/src/fleet.rs
@@ -71,6 +71,8 @@
     pub config: String,
     /// Whether the links between processes go through a fault proxy, `proxy-1`.
     pub proxied: bool,
+    /// Limits of the machines of entries.
+    pub entry_machine: Option<process::Machine>,
 }
 
 impl Default for Plan {
@@ -85,6 +87,7 @@
             service_flags: Vec::new(),
             config: String::new(),
             proxied: false,
+            entry_machine: None,
         }
     }
 }
@@ -109,6 +112,8 @@
     next_port: u16,
     /// Whether links go through the proxy.
     proxied: bool,
+    /// Limits of the machines of entries.
+    entry_machine: Option<process::Machine>,
     /// The proxy's pairs, as its flags say them.
     pairs: Vec<String>,
     keep: bool,
@@ -119,6 +124,7 @@
     pub async fn start(plan: &Plan) -> anyhow::Result<Self> {
         let mut fleet = Self::empty()?;
         fleet.proxied = plan.proxied;
+        fleet.entry_machine = plan.entry_machine;
         fleet.write_config(plan)?;
         let control_links: Vec<SocketAddr> = (0..plan.controls)
             .map(|_| fleet.addr())
@@ -175,6 +181,7 @@
             _block: block,
             next_port: first + 1,
             proxied: false,
+            entry_machine: None,
             pairs: Vec::new(),
             keep: env::var_os("WIGEONBARROW_KEEP").is_some(),
         })
@@ -317,6 +324,7 @@
             args,
             log: self.dir.join(format!("{name}.log")),
             child: None,
+            machine: self.entry_machine.filter(|_| name.starts_with("entry-")),
         };
         process.start()?;
         self.processes.push(process);
--- a/testbed/src/fleet/process.rs
+++ b/testbed/src/fleet/process.rs
@@ -2,6 +2,7 @@
 
 use std::fs;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -35,6 +36,40 @@
     pub(super) args: Vec<String>,
     pub(super) log: PathBuf,
     pub(super) child: Option<Child>,
+    /// `None`: as the test's own.
+    pub(super) machine: Option<Machine>,
+}
+
+/// The limits of a machine on a process.
+#[derive(Clone, Copy, Debug)]
+pub struct Machine {
+    /// Memory in MB.
+    pub memory_mb: usize,
+    /// Open file descriptors.
+    pub max_fds: usize,
+}
+
+/// A command for `program` that may open so many file descriptors.
+pub fn limited(program: &Path, max_fds: usize) -> Command {
+    let mut command = Command::new("sh");
+    command
+        .arg("-c")
+        .arg(format!("ulimit -n {max_fds} && exec \"$0\" \"$@\""))
+        .arg(program);
+    command
+}
+
+/// Most bytes of memory that a process had at any time.
+pub fn peak_memory(pid: u32) -> Option<usize> {
+    let text = fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
+    let peak = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+    let kib: usize = peak.trim().trim_end_matches(" kB").parse().ok()?;
+    Some(kib << 10)
+}
+
+/// Open file descriptors of a process.
+pub fn open_files(pid: u32) -> Option<usize> {
+    Some(fs::read_dir(format!("/proc/{pid}/fd")).ok()?.count())
 }
 
 impl Process {
@@ -44,7 +79,15 @@
             .create(true)
             .append(true)
             .open(&self.log)?;
-        let child = Command::new(&self.program)
+        let mut command = match self.machine {
+            None => Command::new(&self.program),
+            Some(machine) => {
+                let mut command = limited(&self.program, machine.max_fds);
+                command.env("WIGEONBARROW_MEMORY_MB", machine.memory_mb.to_string());
+                command
+            }
+        };
+        let child = command
             .args(&self.args)
             .env("WIGEONBARROW_PROCESS_KEY", PROCESS_KEY)
             .env("WIGEONBARROW_OPERATOR_KEY", OPERATOR_KEY)
