Bound the buffer of a connection by the limit on heads

What callers saw: a process that ran out of memory. 300 clients with heads or empty lines without end took 82 to 99 MB on a machine of 64 MB. Cause: the configuration's limit on heads was read and never applied. hyper's own limit is 408 KiB a connection, for what it reads and for what it has yet to write. Change: each connection gets the limit in force as hyper's limit on heads and on its buffer. The listener serves other classes too and moves to edge/. Result: long_heads and empty_lines, callers and operators: 17 to 19 MB of 64 (82 to 99 before); a head over the limit gets 431. idle_timeouts pass. The daemon's listener is another one and still fails.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -11,6 +11,7 @@
 pub mod http;
 pub mod lifetime;
 pub mod link;
+pub mod listener;
 pub mod metric;
 pub mod node;
 pub mod order;
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -52,7 +52,6 @@
 mod grant;
 pub mod health_check;
 pub mod heartbeat;
-pub mod listener;
 pub mod log_limit;
 pub mod mesh;
 pub mod outbound;
--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -26,12 +26,12 @@
 use super::Settings;
 use super::dialect;
 use super::health_check;
-use super::listener;
 use super::mesh;
 use super::stop;
 use crate::edge::control;
 use crate::edge::event::Event;
 use crate::edge::link;
+use crate::edge::listener;
 use crate::edge::node;
 use crate::edge::signal;
 use crate::log_event;
@@ -45,6 +45,9 @@
 /// Connections of others than callers that may wait for their accept.
 const BACKLOG: u32 = 1_024;
 
+/// Largest head of a readiness check.
+const HEAD_BYTES: usize = 8 << 10;
+
 /// All settings of a process.
 #[derive(Clone, Debug)]
 pub struct Setup {
@@ -298,10 +301,11 @@
         response
     }
 
-    fn timeouts(&self) -> listener::Timeouts {
-        listener::Timeouts {
+    fn limits(&self) -> listener::Limits {
+        listener::Limits {
             idle: Duration::from_secs(10),
             head: Duration::from_secs(3),
+            head_bytes: HEAD_BYTES,
         }
     }
 }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -20,7 +20,6 @@
 use super::attempt;
 use super::context::Context;
 use super::dialect;
-use super::listener;
 use super::pending;
 use super::progress;
 use super::resume;
@@ -32,6 +31,7 @@
 use crate::direct::register;
 use crate::direct::retry;
 use crate::edge::event::Event;
+use crate::edge::listener;
 use crate::log_event;
 use crate::wire::id;
 
@@ -114,12 +114,13 @@
         self.relay(context, span).await
     }
 
-    fn timeouts(&self) -> listener::Timeouts {
+    fn limits(&self) -> listener::Limits {
         let limits = self.catalog().map(|catalog| *catalog.limits());
         let limits = limits.unwrap_or_default();
-        listener::Timeouts {
+        listener::Limits {
             idle: limits.idle_timeout,
             head: limits.head_timeout,
+            head_bytes: limits.head_bytes,
         }
     }
 
--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -13,9 +13,9 @@
 
 use super::Direct;
 use super::cut;
-use super::listener;
 use super::progress;
 use crate::edge::event::Event;
+use crate::edge::listener;
 use crate::log_event;
 
 /// Time between reporting not ready and closing connections: a load balancer that checks each
--- a/src/edge/direct/listener.rs
+++ b/src/edge/listener.rs
@@ -55,6 +55,9 @@
 /// processor. Further ones wait, or are not established.
 const REFUSED_AT_ONCE: u32 = 32;
 
+/// Smallest buffer of a connection that hyper takes.
+const MIN_BUFFER: usize = 8 << 10;
+
 const REFUSAL_PAUSE: Duration = Duration::from_millis(30);
 
 /// Interval of log lines while connections are refused.
@@ -76,13 +79,15 @@
     Either::Right(StreamBody::new(chunks))
 }
 
-/// Timeouts on callers.
+/// Limits on callers.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Timeouts {
+pub struct Limits {
     /// Time that a connection may be idle.
     pub idle: Duration,
     /// Time for the rest of a request's head after its first bytes.
     pub head: Duration,
+    /// Bytes of a request's head, which is also what a connection buffers.
+    pub head_bytes: usize,
 }
 
 /// Handles the requests of a listener.
@@ -92,8 +97,8 @@
         request: http::Request<body::Incoming>,
     ) -> impl Future<Output = http::Response<Body>> + Send;
 
-    /// Timeouts in force on callers.
-    fn timeouts(&self) -> Timeouts;
+    /// Limits in force on callers.
+    fn limits(&self) -> Limits;
 
     /// Logs that a connection closed with this many bytes of an incomplete request head.
     fn log_partial(&self, _bytes: usize) {}
@@ -199,7 +204,7 @@
     /// A wait that begins at `began`: the connection's own timeout is zero.
     fn sleep_until(&self, began: Instant) -> Pin<Box<dyn rt::Sleep>> {
         self.has_read.store(false, Ordering::Relaxed);
-        let due = began + self.handler.timeouts().idle;
+        let due = began + self.handler.limits().idle;
         Box::pin(Wait {
             handler: Arc::clone(&self.handler),
             has_read: Arc::clone(&self.has_read),
@@ -227,10 +232,10 @@
 impl<H: Handler> Wait<H> {
     /// When the wait ends by the timeouts in force.
     fn due(&self) -> Instant {
-        let timeouts = self.handler.timeouts();
-        let idle = self.began + timeouts.idle;
+        let limits = self.handler.limits();
+        let idle = self.began + limits.idle;
         match self.head_began {
-            Some(began) => idle.max(began + timeouts.head),
+            Some(began) => idle.max(began + limits.head),
             None => idle,
         }
     }
@@ -379,6 +384,7 @@
         // The caller has disconnected already.
         return;
     }
+    let head_bytes = handler.limits().head_bytes;
     let has_read = Arc::new(AtomicBool::new(false));
     let timer = Timer {
         handler: Arc::clone(&handler),
@@ -404,6 +410,8 @@
         .timer(timer)
         // Each wait asks for the timeout in force when it would end.
         .header_read_timeout(Duration::ZERO)
+        .max_header_size(head_bytes)
+        .max_buf_size(head_bytes.max(MIN_BUFFER))
         .serve_connection(TokioIo::new(stream), service);
     let closing = async {
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
