Bound the connections of each listener by the machine

What callers saw: with the descriptors used up by idle connections, connections of ordinary callers timed out. 800 idle ones took all 512 descriptors of a process. Cause: nothing bounded connections; the settings' memory_mb and max_fds were not read. When all connections of a listener are in use, the one that has waited longest for its user (idle, or with a head that does not come whole) closes and a new one takes its place; it is refused unread only if all are being served. Each refusal is counted by users and cause, and logged once a second at most.

--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -30,11 +30,13 @@
 use super::stop;
 use crate::edge::control;
 use crate::edge::event::Event;
+use crate::edge::guard;
 use crate::edge::link;
 use crate::edge::listener;
 use crate::edge::node;
 use crate::edge::signal;
 use crate::log_event;
+use crate::overload;
 
 /// Log records that may wait for standard output. Records beyond that are dropped and counted.
 const LOG_QUEUE: usize = 1_024;
@@ -65,6 +67,8 @@
     pub ready: Option<SocketAddr>,
     /// Listener address for metrics.
     pub metrics: Option<SocketAddr>,
+    /// Limits of the machine on this process.
+    pub machine: overload::Machine,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
 }
@@ -125,7 +129,12 @@
         node.set_control(role);
     }
     let direct = Direct::new(&node, setup.direct.clone(), platform.dialect);
-    let (listeners, closing) = stop::Listeners::open();
+    let refused = guard::Count::new(node.metrics());
+    let guard = |users| guard::Guard::new(users, &setup.machine, &refused, log);
+    let (listeners, closing) = stop::Listeners::open(
+        guard(overload::Users::Callers),
+        guard(overload::Users::Operators),
+    );
     // The callers' listener comes last: a process that fails to start accepts no connection that it
     // would then cut.
     let admin = bind_any(setup.admin, BACKLOG, "operators' listener").await?;
@@ -136,20 +145,20 @@
     let front = bind_any(setup.front, listener::BACKLOG, "callers' listener").await?;
     if let Some(listener) = front {
         let handler = Arc::clone(&direct);
-        let open = listeners.callers.clone();
+        let guard = Arc::clone(&listeners.callers);
         let gate = Some(Arc::default());
         tokio::spawn(listener::serve(
             listener,
             handler,
             closing.clone(),
-            open,
+            guard,
             gate,
         ));
     }
     if let Some(listener) = admin {
         let handler = (platform.admin)(&direct);
-        let open = listeners.operators.clone();
-        tokio::spawn(listener::serve(listener, handler, closing, open, None));
+        let guard = Arc::clone(&listeners.operators);
+        tokio::spawn(listener::serve(listener, handler, closing, guard, None));
     }
     let status = Arc::new(Status {
         direct: Arc::clone(&direct),
@@ -158,12 +167,11 @@
     let (_sender, always_open) = watch::channel(listener::Stage::Open);
     for listener in status_listeners {
         let handler = Arc::clone(&status);
-        let open = listener::Connections::default();
         tokio::spawn(listener::serve(
             listener,
             handler,
             always_open.clone(),
-            open,
+            guard(overload::Users::Status),
             None,
         ));
     }
@@ -207,8 +215,8 @@
     status.draining.store(true, Ordering::Release);
     stop::drain(&direct, &listeners, grace, &mut signals).await;
     let cut = stop::log_cut(&direct);
-    log_event!(log, Event::Stopped, "connections" => listeners.callers.count(),
-        "calls" => listeners.operators.count(), "cut" => cut);
+    log_event!(log, Event::Stopped, "connections" => listeners.callers.open_connections(),
+        "calls" => listeners.operators.open_connections(), "cut" => cut);
     Ok(())
 }
 
--- a/src/edge/direct/stop.rs
+++ b/src/edge/direct/stop.rs
@@ -15,6 +15,7 @@
 use super::cut;
 use super::progress;
 use crate::edge::event::Event;
+use crate::edge::guard;
 use crate::edge::listener;
 use crate::log_event;
 
@@ -43,19 +44,22 @@
 pub(super) struct Listeners {
     stage: watch::Sender<listener::Stage>,
     /// Connections of callers.
-    pub(super) callers: listener::Connections,
+    pub(super) callers: Arc<guard::Guard>,
     /// Connections of operators and backend servers.
-    pub(super) operators: listener::Connections,
+    pub(super) operators: Arc<guard::Guard>,
 }
 
 impl Listeners {
     /// Listeners in the open stage, and the receiver of their stage.
-    pub(super) fn open() -> (Self, watch::Receiver<listener::Stage>) {
+    pub(super) fn open(
+        callers: Arc<guard::Guard>,
+        operators: Arc<guard::Guard>,
+    ) -> (Self, watch::Receiver<listener::Stage>) {
         let (stage, closing) = watch::channel(listener::Stage::Open);
         let listeners = Self {
             stage,
-            callers: listener::Connections::default(),
-            operators: listener::Connections::default(),
+            callers,
+            operators,
         };
         (listeners, closing)
     }
@@ -69,7 +73,7 @@
     /// Stops accepting connections, and waits until those that are open have ended.
     async fn close(&self) {
         let _ = self.stage.send(listener::Stage::Closing);
-        while self.callers.count() + self.operators.count() > 0 {
+        while self.callers.open_connections() + self.operators.open_connections() > 0 {
             time::sleep(CLOSE_POLL).await;
         }
     }
--- a/src/edge/event.rs
+++ b/src/edge/event.rs
@@ -103,6 +103,7 @@
     SendWithheld = 263, Info, "not sent: its backend server asked for a pause, or takes nothing new";
     RequestQueued = 264, Info, "request waits for a backend server with capacity";
     RequestShed = 265, Warning, "request rejected while it waited: the queue is full, or its caller has left";
+    UsersRefused = 270, Warning, "refused or closed at a listener: its users hold or send more than their bounds";
 }
 
 impl slog::Value for register::Instance {
--- /dev/null
+++ b/src/edge/guard.rs
@@ -0,0 +1,270 @@
+//! Holds the users of a listener to their bounds: its open connections, and a count of what was
+//! refused.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use std::time::Instant;
+
+use prometheus_client::encoding::EncodeLabelSet;
+use prometheus_client::metrics::counter;
+use prometheus_client::metrics::family;
+use tokio::sync::Notify;
+use tokio::time;
+
+use super::event::Event;
+use super::metric;
+use crate::log_event;
+use crate::overload;
+
+/// Longest wait for a connection that was told to close.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Connections told to close for one new connection before it is refused.
+const MAX_YIELDS: usize = 3;
+
+/// Interval of log lines on what was refused.
+const REPORT: Duration = Duration::from_secs(1);
+
+key! {
+    /// Why something of a user was refused or closed.
+    pub enum Cause {
+        /// A new connection: all others are being served.
+        Connection,
+        /// A connection that waited for its user longest, while all were in use.
+        Idle,
+        /// A head over the limit.
+        Head,
+    }
+}
+
+impl Cause {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Connection => "connection",
+            Self::Idle => "idle",
+            Self::Head => "head",
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+struct Label {
+    users: &'static str,
+    cause: &'static str,
+}
+
+/// Counts what was refused at all listeners of a process.
+#[derive(Clone, Debug, Default)]
+pub struct Count(family::Family<Label, counter::Counter>);
+
+impl Count {
+    /// Creates the counter and registers it.
+    pub fn new(metrics: &metric::Registry) -> Self {
+        let count = Self::default();
+        metrics.with(|registry| {
+            let sub = registry.sub_registry_with_prefix("listener");
+            let help = "Refused or closed at a listener, by its users and the cause";
+            sub.register("refused", help, count.0.clone());
+        });
+        count
+    }
+}
+
+/// What was refused since the last log line.
+#[derive(Debug, Default)]
+struct Refusals {
+    counts: HashMap<Cause, u32>,
+    logged: Option<Instant>,
+}
+
+/// The bounds of one listener, and its open connections.
+#[derive(Debug)]
+pub struct Guard {
+    users: overload::Users,
+    bounds: overload::Bounds,
+    began: Instant,
+    connections: Mutex<overload::Connections>,
+    /// One for each open connection.
+    slots: Mutex<HashMap<u64, Arc<Signals>>>,
+    closed: Notify,
+    count: Count,
+    refusals: Mutex<Refusals>,
+    log: slog::Logger,
+}
+
+impl Guard {
+    /// Guards the listener for `users` on a machine.
+    pub fn new(
+        users: overload::Users,
+        machine: &overload::Machine,
+        count: &Count,
+        log: &slog::Logger,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            users,
+            bounds: machine.bounds(users),
+            began: Instant::now(),
+            connections: Mutex::default(),
+            slots: Mutex::default(),
+            closed: Notify::new(),
+            count: count.clone(),
+            refusals: Mutex::default(),
+            log: log.clone(),
+        })
+    }
+
+    /// Number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.connections().len()
+    }
+
+    /// Takes a place for a new connection whose heads have up to `head_bytes`. `None`: it is refused.
+    pub async fn admit(self: &Arc<Self>, head_bytes: usize) -> Option<Arc<Slot>> {
+        let most = self.bounds.connections(head_bytes);
+        for _ in 0..=MAX_YIELDS {
+            let closed = self.closed.notified();
+            let verdict = self.connections().admit(self.began.elapsed(), most);
+            match verdict {
+                overload::Verdict::Admitted(id) => return Some(self.slot(id)),
+                overload::Verdict::Yields(id) => {
+                    self.refused(Cause::Idle);
+                    self.signals(id, Signals::close);
+                    // It may have got a request meanwhile; then another one yields.
+                    let _ = time::timeout(CLOSE_TIMEOUT, closed).await;
+                }
+                overload::Verdict::Refused => break,
+            }
+        }
+        self.refused(Cause::Connection);
+        None
+    }
+
+    /// Counts something that was refused, and logs at most one line an interval.
+    pub fn refused(&self, cause: Cause) {
+        let label = Label {
+            users: self.users.name(),
+            cause: cause.name(),
+        };
+        self.count.0.get_or_create(&label).inc();
+        let mut refusals = self.refusals.lock().expect("refusals lock");
+        *refusals.counts.entry(cause).or_default() += 1;
+        if refusals.logged.is_some_and(|at| at.elapsed() < REPORT) {
+            return;
+        }
+        refusals.logged = Some(Instant::now());
+        for (cause, count) in std::mem::take(&mut refusals.counts) {
+            log_event!(self.log, Event::UsersRefused, "users" => self.users.name(),
+                "cause" => cause.name(), "count" => count, "open" => self.open_connections());
+        }
+    }
+
+    fn slot(self: &Arc<Self>, id: u64) -> Arc<Slot> {
+        let signals = Arc::<Signals>::default();
+        self.slots().insert(id, Arc::clone(&signals));
+        Arc::new(Slot {
+            guard: Arc::clone(self),
+            id,
+            signals,
+        })
+    }
+
+    fn signals(&self, id: u64, send: impl FnOnce(&Signals)) {
+        if let Some(signals) = self.slots().get(&id) {
+            send(signals);
+        }
+    }
+
+    fn connections(&self) -> MutexGuard<'_, overload::Connections> {
+        self.connections.lock().expect("connections lock")
+    }
+
+    fn slots(&self) -> MutexGuard<'_, HashMap<u64, Arc<Signals>>> {
+        self.slots.lock().expect("slots lock")
+    }
+}
+
+/// What a connection waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[repr(u8)]
+enum Phase {
+    /// A request, or the rest of its head.
+    Head,
+    /// Nothing: it is being served.
+    Served,
+}
+
+/// Tells a connection to close.
+#[derive(Debug, Default)]
+struct Signals {
+    /// The connection's [`Phase`].
+    phase: AtomicU8,
+    head: Notify,
+}
+
+impl Signals {
+    fn enter(&self, phase: Phase) {
+        self.phase.store(phase as u8, Ordering::Relaxed);
+    }
+
+    fn is_in(&self, phase: Phase) -> bool {
+        self.phase.load(Ordering::Relaxed) == phase as u8
+    }
+
+    fn close(&self) {
+        if self.is_in(Phase::Head) {
+            self.head.notify_one();
+        }
+    }
+}
+
+/// The place of an open connection, given back when it is dropped.
+#[derive(Debug)]
+pub struct Slot {
+    guard: Arc<Guard>,
+    id: u64,
+    signals: Arc<Signals>,
+}
+
+impl Slot {
+    /// The listener's guard.
+    pub fn guard(&self) -> &Arc<Guard> {
+        &self.guard
+    }
+
+    /// The connection waits for a request from now on.
+    pub fn wait_for_head(&self) {
+        self.signals.enter(Phase::Head);
+        let now = self.guard.began.elapsed();
+        self.guard.connections().wait(self.id, now);
+    }
+
+    /// The connection is being served from now on.
+    pub fn serve(&self) {
+        self.signals.enter(Phase::Served);
+        self.guard.connections().serve(self.id);
+    }
+
+    /// Returns when the connection, which waits for a request, has to close.
+    pub async fn has_to_close(&self) {
+        loop {
+            self.signals.head.notified().await;
+            if self.signals.is_in(Phase::Head) {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        self.guard.slots().remove(&self.id);
+        self.guard.connections().close(self.id);
+        self.guard.closed.notify_one();
+    }
+}
--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -11,7 +11,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::task;
 use std::task::Poll;
@@ -38,6 +37,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use super::guard;
 use crate::direct::admission;
 
 /// Delay after a failed accept, as when all file descriptors are in use.
@@ -120,25 +120,6 @@
     Closing,
 }
 
-/// Counts open connections.
-#[derive(Clone, Default)]
-pub struct Connections(Arc<AtomicUsize>);
-
-impl Connections {
-    pub fn count(&self) -> usize {
-        self.0.load(Ordering::Acquire)
-    }
-}
-
-/// Counts one connection as open until it is dropped.
-struct Counted(Connections);
-
-impl Drop for Counted {
-    fn drop(&mut self) {
-        self.0.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// A caller's connection. Notes that bytes have arrived.
 struct Stream {
     tcp: TcpStream,
@@ -194,6 +175,7 @@
 struct Timer<H> {
     handler: Arc<H>,
     has_read: Arc<AtomicBool>,
+    slot: Arc<guard::Slot>,
 }
 
 impl<H: Handler> rt::Timer for Timer<H> {
@@ -204,6 +186,7 @@
     /// A wait that begins at `began`: the connection's own timeout is zero.
     fn sleep_until(&self, began: Instant) -> Pin<Box<dyn rt::Sleep>> {
         self.has_read.store(false, Ordering::Relaxed);
+        self.slot.wait_for_head();
         let due = began + self.handler.limits().idle;
         Box::pin(Wait {
             handler: Arc::clone(&self.handler),
@@ -326,13 +309,13 @@
 }
 
 /// Serves connections until `stage` is [`Stage::Closing`]. Then new connections are refused, so
-/// that their callers try another process at once. `gate` refuses some before. `None`: it refuses
-/// none.
+/// that their callers try another process at once. `guard` bounds them; `gate` refuses some before.
+/// `None`: it refuses none.
 pub async fn serve<H: Handler>(
     listener: TcpListener,
     handler: Arc<H>,
     stage: watch::Receiver<Stage>,
-    open: Connections,
+    guard: Arc<guard::Guard>,
     gate: Option<Arc<Gate>>,
 ) {
     let mut closing = stage.clone();
@@ -361,16 +344,21 @@
             }
             continue;
         }
-        open.0.fetch_add(1, Ordering::AcqRel);
-        let counted = Counted(open.clone());
-        let conn = connection(tcp, Arc::clone(&handler), stage.clone());
+        let Some(slot) = guard.admit(handler.limits().head_bytes).await else {
+            drop(tcp);
+            refused += 1;
+            if refused % REFUSED_AT_ONCE == 0 {
+                time::sleep(REFUSAL_PAUSE).await;
+            }
+            continue;
+        };
+        let conn = connection(tcp, Arc::clone(&handler), stage.clone(), slot);
         let gate = gate.clone();
         tokio::spawn(async move {
             if let Some(gate) = gate {
                 gate.observe(now);
             }
             conn.await;
-            drop(counted);
         });
     }
 }
@@ -379,6 +367,7 @@
     tcp: TcpStream,
     handler: Arc<H>,
     mut stage: watch::Receiver<Stage>,
+    slot: Arc<guard::Slot>,
 ) {
     if tcp.set_nodelay(true).is_err() {
         // The caller has disconnected already.
@@ -389,11 +378,14 @@
     let timer = Timer {
         handler: Arc::clone(&handler),
         has_read: Arc::clone(&has_read),
+        slot: Arc::clone(&slot),
     };
     let stream = Stream { tcp, has_read };
     let current = stage.clone();
     let closed = Arc::clone(&handler);
+    let served = Arc::clone(&slot);
     let service = service::service_fn(move |request| {
+        served.serve();
         let handler = Arc::clone(&handler);
         let current = current.clone();
         async move {
@@ -417,19 +409,27 @@
         let _ = stage.wait_for(|stage| *stage == Stage::Closing).await;
     };
     let ended = tokio::select! {
-        ended = &mut conn => ended,
+        ended = &mut conn => Some(ended),
         () = closing => {
             Pin::new(&mut conn).graceful_shutdown();
-            (&mut conn).await
+            Some((&mut conn).await)
         }
+        () = slot.has_to_close() => None,
     };
-    // The caller of a connection that failed otherwise is gone.
-    if ended.is_err_and(|err| err.is_timeout()) {
-        let parts = conn.into_parts();
-        if !parts.read_buf.is_empty() {
-            closed.log_partial(parts.read_buf.len());
-            // A few bytes fit into the socket's buffer; without room there is no answer.
-            let _ = parts.io.into_inner().tcp.try_write(TIMED_OUT);
+    match ended {
+        Some(Err(err)) if err.is_parse_too_large() => {
+            slot.guard().refused(guard::Cause::Head);
+            return;
         }
+        None => {}
+        Some(Err(err)) if err.is_timeout() => {}
+        // The caller of a connection that failed otherwise is gone.
+        Some(_) => return,
+    }
+    let parts = conn.into_parts();
+    if !parts.read_buf.is_empty() {
+        closed.log_partial(parts.read_buf.len());
+        // A few bytes fit into the socket's buffer; without room there is no answer.
+        let _ = parts.io.into_inner().tcp.try_write(TIMED_OUT);
     }
 }
