Read a caller's body after its route and key, within a bound for all

What callers saw: a process that ran out of memory. 150 bodies of 1 MiB held short of their end took 168 MB on a machine of 64 MB, also without a key or a route; 40 bodies in chunks of one byte 172 MB, a single one of 4 MiB, within the limits, 172 MB. Cause: a body was read before the route, the key and the announced size were looked at; collect() keeps the buffer of each chunk, so that a chunk of one byte costs about 40; nothing bounded the sum. Change: announced size, route and key are checked by the head. Then the body is copied into one buffer that takes its memory from a pool of a quarter of the machine's, and is read no further while the pool is used up. A body that stalls yields to one that does not, then the slower of two (408); one that gets no memory within a second is told to come back (503). A body may come as long as it does not pause for the idle timeout and its request has time left. The rest of a rejected body is read for up to a second so that its caller gets the response.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -1,5 +1,6 @@
 //! All input and output: links, HTTP, files, clocks, threads, logs and metrics.
 
+pub mod body;
 pub mod conf;
 pub mod control;
 pub mod direct;
--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -14,6 +14,7 @@
 use tokio::sync::watch;
 use tokio::time;
 
+use super::body;
 use super::document;
 use super::event::Event;
 use super::node;
@@ -35,6 +36,7 @@
 use crate::direct::waiting;
 use crate::direct::writing;
 use crate::log_event;
+use crate::overload;
 use crate::wire::agree;
 
 mod account;
@@ -93,6 +95,8 @@
     pub reservation_ttl: Duration,
     /// How many times the rate of requests that a cold server is meant to take it survives.
     pub cold_overshoot: f64,
+    /// Limits of the machine on this process.
+    pub machine: overload::Machine,
     /// Bounds of the requests that wait here for a place.
     pub waiting: crate::queue::Bounds,
     /// Availability zones of the deployment, each with its region. Empty: not known.
@@ -155,6 +159,8 @@
     queue: queue::Queue,
     /// Requests in progress.
     progress: progress::Table,
+    /// Memory of callers' bodies.
+    bodies: Arc<body::Pool>,
     /// Memory of responses that are read whole.
     buffers: Arc<buffer::Pool>,
     /// Notified when load that other entries should know of changed here.
@@ -208,6 +214,7 @@
             counts: count::Counts::new(node.metrics()),
             queue: queue::Queue::new(settings.waiting),
             progress: progress::Table::default(),
+            bodies: body::Pool::new(settings.machine.bounds(overload::Users::Callers).bodies),
             buffers: Arc::default(),
             loads_changed: Notify::new(),
             broadcasts: Mutex::default(),
--- a/src/edge/direct/daemon.rs
+++ b/src/edge/direct/daemon.rs
@@ -67,8 +67,6 @@
     pub ready: Option<SocketAddr>,
     /// Listener address for metrics.
     pub metrics: Option<SocketAddr>,
-    /// Limits of the machine on this process.
-    pub machine: overload::Machine,
     /// Time from the stop signal until the process is killed.
     pub grace: Duration,
 }
@@ -130,7 +128,7 @@
     }
     let direct = Direct::new(&node, setup.direct.clone(), platform.dialect);
     let refused = guard::Count::new(node.metrics());
-    let guard = |users| guard::Guard::new(users, &setup.machine, &refused, log);
+    let guard = |users| guard::Guard::new(users, &setup.direct.machine, &refused, log);
     let (listeners, closing) = stop::Listeners::open(
         guard(overload::Users::Callers),
         guard(overload::Users::Operators),
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -10,10 +10,6 @@
 use http::header;
 use http::request;
 use http::response;
-use http_body_util::BodyExt as _;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
-use hyper::body;
 use tokio::time;
 
 use super::Direct;
@@ -30,7 +26,9 @@
 use crate::direct::home;
 use crate::direct::register;
 use crate::direct::retry;
+use crate::edge::body;
 use crate::edge::event::Event;
+use crate::edge::guard;
 use crate::edge::listener;
 use crate::log_event;
 use crate::wire::id;
@@ -87,15 +85,16 @@
 impl listener::Handler for Direct {
     async fn handle(
         self: &Arc<Self>,
-        request: http::Request<body::Incoming>,
+        request: http::Request<hyper::body::Incoming>,
     ) -> http::Response<listener::Body> {
-        let (head, body) = request.into_parts();
+        let (mut head, mut body) = request.into_parts();
+        let slot = head.extensions.remove::<Arc<guard::Slot>>();
         let request = self.dialect.request(&head);
         let mut span = span::Span::new(self, &request.id);
         let lifetime = self.node.lifetime();
         let admitted = tokio::select! {
             biased;
-            admitted = self.admit(request, head, body, span.progress()) => admitted,
+            admitted = self.admit(request, head, &mut body, slot, span.progress()) => admitted,
             () = lifetime.expired() => Err(Rejection::new(StatusCode::SERVICE_UNAVAILABLE, EXITS)),
         };
         let context = match admitted {
@@ -107,6 +106,9 @@
                     .retry_after
                     .map(|after| if is_ending { Duration::ZERO } else { after });
                 span.reject(rejection.status, rejection.why, retry_after);
+                if rejection.status != StatusCode::REQUEST_TIMEOUT {
+                    body::discard(body, self.caller_limits().body_bytes);
+                }
                 return reject(rejection.status, retry_after);
             }
         };
@@ -115,8 +117,7 @@
     }
 
     fn limits(&self) -> listener::Limits {
-        let limits = self.catalog().map(|catalog| *catalog.limits());
-        let limits = limits.unwrap_or_default();
+        let limits = self.caller_limits();
         listener::Limits {
             idle: limits.idle_timeout,
             head: limits.head_timeout,
@@ -140,20 +141,45 @@
 }
 
 impl Direct {
-    /// Reads the body of a request and finds its route and workspace.
+    /// Limits in force on callers.
+    fn caller_limits(&self) -> catalog::Limits {
+        let catalog = self.catalog();
+        catalog.map(|catalog| *catalog.limits()).unwrap_or_default()
+    }
+
+    /// Finds the route and workspace of a request and reads its body. What can be rejected by its
+    /// head alone is rejected before any of the body is read.
     async fn admit(
         &self,
         request: dialect::Request,
         head: request::Parts,
-        body: body::Incoming,
+        body: &mut hyper::body::Incoming,
+        slot: Option<Arc<guard::Slot>>,
         progress: &progress::Progress,
     ) -> Result<Context, Rejection> {
-        let catalog = self.catalog();
-        let limits = catalog.as_ref().map(|catalog| *catalog.limits());
-        let body = read_body(body, &limits.unwrap_or_default()).await?;
+        let limits = self.caller_limits();
+        if body::is_announced_over(body, limits.body_bytes) {
+            return Err(body_rejection(body::Failure::TooLarge));
+        }
         let timeout = request.timeout.unwrap_or(DEFAULT_TIMEOUT);
+        let startup_wait = startup_wait(&request);
+        let catalog = self
+            .catalog_for(&request, head.uri.path(), startup_wait)
+            .await?;
+        let (route, _) = find_route(&catalog, &request, head.uri.path())?;
+        let limits = body::Limits {
+            bytes: limits.body_bytes,
+            idle: limits.idle_timeout,
+            deadline: progress.lock().began + timeout.min(route.timeout),
+        };
+        let Some(slot) = slot else {
+            return Err(body_rejection(body::Failure::Broken));
+        };
+        let body = self.bodies.read(body, &slot, &limits).await;
+        let body = body.map_err(body_rejection)?;
+        // The configuration may have changed while the body came.
         let catalog = self
-            .catalog_for(&request, head.uri.path(), startup_wait(&request))
+            .catalog_for(&request, head.uri.path(), startup_wait)
             .await?;
         let (route, workspace) = find_route(&catalog, &request, head.uri.path())?;
         let limit = timeout.min(route.timeout);
@@ -436,7 +462,7 @@
             let mut after = first.last_id;
             context.progress.reach(progress::Stage::Answering);
             span.events_passed(first.events);
-            yield Ok(body::Frame::data(first.bytes));
+            yield Ok(hyper::body::Frame::data(first.bytes));
             loop {
                 match direct.next_events(&mut context, &mut source, after.as_deref()).await {
                     Ok(Some(chunk)) => {
@@ -444,7 +470,7 @@
                         span.events_passed(chunk.events);
                         direct.observe_run(&mut context);
                         after = chunk.last_id.or(after);
-                        yield Ok(body::Frame::data(chunk.bytes));
+                        yield Ok(hyper::body::Frame::data(chunk.bytes));
                     }
                     Ok(None) => {
                         direct.run_ended_well(&context);
@@ -508,21 +534,20 @@
     STARTUP_WAIT.min(timeout.mul_f64(STARTUP_WAIT_PART))
 }
 
-async fn read_body(body: body::Incoming, limits: &catalog::Limits) -> Result<Bytes, Rejection> {
-    let reading = Limited::new(body, limits.body_bytes).collect();
-    match time::timeout(limits.idle_timeout, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(err)) if err.is::<LengthLimitError>() => {
-            let status = StatusCode::PAYLOAD_TOO_LARGE;
-            Err(Rejection::new(status, "its body is too large"))
+/// The rejection of a request whose body was not read.
+fn body_rejection(failure: body::Failure) -> Rejection {
+    match failure {
+        body::Failure::TooLarge => {
+            Rejection::new(StatusCode::PAYLOAD_TOO_LARGE, "its body is too large")
         }
-        Ok(Err(_)) => Err(Rejection::new(
-            StatusCode::BAD_REQUEST,
-            "its body broke off",
-        )),
-        Err(_) => {
-            let status = StatusCode::REQUEST_TIMEOUT;
-            Err(Rejection::new(status, "its body did not come"))
+        body::Failure::Broken => Rejection::new(StatusCode::BAD_REQUEST, "its body broke off"),
+        body::Failure::Late => Rejection::new(StatusCode::REQUEST_TIMEOUT, "its body did not come"),
+        body::Failure::Yielded => Rejection::new(
+            StatusCode::REQUEST_TIMEOUT,
+            "its body came more slowly than others",
+        ),
+        body::Failure::Full => {
+            Rejection::new(StatusCode::SERVICE_UNAVAILABLE, "no memory for its body")
         }
     }
 }
--- a/src/edge/guard.rs
+++ b/src/edge/guard.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU8;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -39,6 +40,14 @@
         Idle,
         /// A head over the limit.
         Head,
+        /// A body over the limit.
+        BodySize,
+        /// A body that paused for too long or did not come in time.
+        BodyTime,
+        /// A body that made less progress than others, while memory or connections were used up.
+        BodyProgress,
+        /// A body for which there was no memory.
+        Memory,
     }
 }
 
@@ -49,6 +58,10 @@
             Self::Connection => "connection",
             Self::Idle => "idle",
             Self::Head => "head",
+            Self::BodySize => "body_size",
+            Self::BodyTime => "body_time",
+            Self::BodyProgress => "body_progress",
+            Self::Memory => "memory",
         }
     }
 }
@@ -195,6 +208,8 @@
 enum Phase {
     /// A request, or the rest of its head.
     Head,
+    /// The rest of a body.
+    Body,
     /// Nothing: it is being served.
     Served,
 }
@@ -204,21 +219,33 @@
 struct Signals {
     /// The connection's [`Phase`].
     phase: AtomicU8,
-    head: Notify,
+    /// Whether it has been told to close. It need not once it is served.
+    is_told: AtomicBool,
+    told: Notify,
 }
 
 impl Signals {
     fn enter(&self, phase: Phase) {
         self.phase.store(phase as u8, Ordering::Relaxed);
+        if phase == Phase::Served {
+            self.is_told.store(false, Ordering::Relaxed);
+        }
     }
 
-    fn is_in(&self, phase: Phase) -> bool {
-        self.phase.load(Ordering::Relaxed) == phase as u8
+    fn close(&self) {
+        self.is_told.store(true, Ordering::Relaxed);
+        self.told.notify_waiters();
     }
 
-    fn close(&self) {
-        if self.is_in(Phase::Head) {
-            self.head.notify_one();
+    /// Returns when the connection has been told to close in this phase.
+    async fn told_in(&self, phase: Phase) {
+        loop {
+            let told = self.told.notified();
+            let is_in = self.phase.load(Ordering::Relaxed) == phase as u8;
+            if is_in && self.is_told.load(Ordering::Relaxed) {
+                return;
+            }
+            told.await;
         }
     }
 }
@@ -244,6 +271,13 @@
         self.guard.connections().wait(self.id, now);
     }
 
+    /// The connection waits for the rest of a body, which has just progressed.
+    pub fn wait_for_body(&self) {
+        self.signals.enter(Phase::Body);
+        let now = self.guard.began.elapsed();
+        self.guard.connections().wait(self.id, now);
+    }
+
     /// The connection is being served from now on.
     pub fn serve(&self) {
         self.signals.enter(Phase::Served);
@@ -252,12 +286,12 @@
 
     /// Returns when the connection, which waits for a request, has to close.
     pub async fn has_to_close(&self) {
-        loop {
-            self.signals.head.notified().await;
-            if self.signals.is_in(Phase::Head) {
-                return;
-            }
-        }
+        self.signals.told_in(Phase::Head).await;
+    }
+
+    /// Returns when the connection, of which a body is being read, has to give it up.
+    pub async fn has_to_give_up_body(&self) {
+        self.signals.told_in(Phase::Body).await;
     }
 }
 
--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -90,7 +90,8 @@
     pub head_bytes: usize,
 }
 
-/// Handles the requests of a listener.
+/// Handles the requests of a listener. The extensions of a request hold the [`guard::Slot`] of its
+/// connection.
 pub trait Handler: Send + Sync + 'static {
     fn handle(
         self: &Arc<Self>,
@@ -384,8 +385,9 @@
     let current = stage.clone();
     let closed = Arc::clone(&handler);
     let served = Arc::clone(&slot);
-    let service = service::service_fn(move |request| {
+    let service = service::service_fn(move |mut request: http::Request<body::Incoming>| {
         served.serve();
+        request.extensions_mut().insert(Arc::clone(&served));
         let handler = Arc::clone(&handler);
         let current = current.clone();
         async move {
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -1,6 +1,7 @@
 //! What callers may hold of a process: parts of the memory and of the descriptors that its machine
 //! allows it. All listeners take their bounds from here.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
@@ -8,8 +9,21 @@
 /// Descriptors that are left for files outside the data folder.
 const RESERVED_DESCRIPTORS: usize = 200;
 
-/// Memory of a connection beside the buffer for its heads: its task and what it writes.
-const CONNECTION_BYTES: usize = 16 << 10;
+/// Memory of a connection beside the buffer for its heads: its task, what it writes, and the first
+/// bytes of a body.
+const CONNECTION_BYTES: usize = 24 << 10;
+
+/// Bytes of each body that are held as part of its connection.
+const OWN_BODY_BYTES: usize = 8 << 10;
+
+/// Bytes by which a body progresses.
+const PROGRESS_BYTES: usize = 4 << 10;
+
+/// Time without progress after which a body stalls.
+const STALL: Duration = Duration::from_millis(500);
+
+/// Shortest time over which the pace of a body is taken.
+const MIN_PACE_TIME: Duration = Duration::from_millis(50);
 
 /// Limits of the machine on this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -164,3 +178,158 @@
         }
     }
 }
+
+/// Whether a body may take more memory.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Grant {
+    /// It has it.
+    Granted,
+    /// The body of this number is to be given up first.
+    Yields(u64),
+    /// Not before other bodies give some back.
+    Waits,
+}
+
+/// A body that is being read.
+#[derive(Clone, Copy, Debug)]
+struct Body {
+    began: Duration,
+    /// Bytes received.
+    received: usize,
+    /// Bytes received and time at the last progress.
+    progress: (usize, Duration),
+    /// Bytes held beyond its own.
+    held: usize,
+    /// Whether it waits for memory and so is not read.
+    waits: bool,
+    /// Whether it has been told to end.
+    yields: bool,
+}
+
+impl Body {
+    /// Bytes a second since it began.
+    fn pace(&self, now: Duration) -> f64 {
+        let took = now.saturating_sub(self.began).max(MIN_PACE_TIME);
+        self.received as f64 / took.as_secs_f64()
+    }
+
+    /// How long it has stalled. `None`: it progresses.
+    fn stalled(&self, now: Duration) -> Option<Duration> {
+        let since = now.saturating_sub(self.progress.1);
+        (since >= STALL).then_some(since)
+    }
+}
+
+/// Memory for bodies, from their first bytes to the end of their requests. When it is used up, a body
+/// that stalls yields to one that does not, then the slower of two.
+#[derive(Clone, Debug)]
+pub struct Memory {
+    most: usize,
+    /// Invariant: at most `most`; the sum over `reading` and over the bodies that were read whole.
+    used: usize,
+    next: u64,
+    reading: BTreeMap<u64, Body>,
+}
+
+impl Memory {
+    /// Memory of `most` bytes.
+    pub fn new(most: usize) -> Self {
+        Self {
+            most,
+            used: 0,
+            next: 0,
+            reading: BTreeMap::new(),
+        }
+    }
+
+    /// Bytes in use.
+    pub fn used(&self) -> usize {
+        self.used
+    }
+
+    /// Begins to read a body; its number.
+    pub fn begin(&mut self, now: Duration) -> u64 {
+        let id = self.next;
+        self.next += 1;
+        let body = Body {
+            began: now,
+            received: 0,
+            progress: (0, now),
+            held: 0,
+            waits: false,
+            yields: false,
+        };
+        self.reading.insert(id, body);
+        id
+    }
+
+    /// Records bytes of a body. Returns whether it has progressed.
+    pub fn receive(&mut self, now: Duration, id: u64, bytes: usize) -> bool {
+        let Some(body) = self.reading.get_mut(&id) else {
+            return false;
+        };
+        body.received += bytes;
+        let has_progressed = body.received >= body.progress.0 + PROGRESS_BYTES;
+        if has_progressed {
+            body.progress = (body.received, now);
+        }
+        has_progressed
+    }
+
+    /// Asks for memory so that a body may hold `capacity` bytes.
+    pub fn grow(&mut self, now: Duration, id: u64, capacity: usize) -> Grant {
+        let wanted = capacity.saturating_sub(OWN_BODY_BYTES);
+        let Some(body) = self.reading.get_mut(&id) else {
+            return Grant::Waits;
+        };
+        let more = wanted.saturating_sub(body.held);
+        if self.used + more <= self.most {
+            self.used += more;
+            body.held += more;
+            if body.waits {
+                body.waits = false;
+                body.progress.1 = now;
+            }
+            return Grant::Granted;
+        }
+        body.waits = true;
+        let own_pace = body.pace(now);
+        let missing = self.used + more - self.most;
+        let yielding = self.reading.values().filter(|body| body.yields);
+        if yielding.map(|body| body.held).sum::<usize>() >= missing {
+            return Grant::Waits;
+        }
+        let candidates = self.reading.iter_mut().filter(|(other, body)| {
+            let is_slower = body.stalled(now).is_some() || body.pace(now) < own_pace;
+            **other != id && body.held > 0 && !body.waits && !body.yields && is_slower
+        });
+        let slowest = candidates.min_by(|(_, a), (_, b)| {
+            let by_stall = b.stalled(now).cmp(&a.stalled(now));
+            by_stall.then(a.pace(now).total_cmp(&b.pace(now)))
+        });
+        match slowest {
+            Some((other, body)) => {
+                body.yields = true;
+                Grant::Yields(*other)
+            }
+            None => Grant::Waits,
+        }
+    }
+
+    /// A body was read whole. It yields no more, and holds the returned number of bytes until they
+    /// are released.
+    pub fn finish(&mut self, id: u64) -> usize {
+        self.reading.remove(&id).map_or(0, |body| body.held)
+    }
+
+    /// Gives back what a body that was read whole held.
+    pub fn release(&mut self, bytes: usize) {
+        self.used -= bytes;
+    }
+
+    /// Gives up a body that was not read whole.
+    pub fn abandon(&mut self, id: u64) {
+        let held = self.finish(id);
+        self.release(held);
+    }
+}
--- a/tests/overload_bounds.rs
+++ b/tests/overload_bounds.rs
@@ -5,6 +5,7 @@
 use assert_matches::assert_matches;
 use proptest::prelude::*;
 use wigeonbarrow::overload;
+use wigeonbarrow::overload::Grant;
 use wigeonbarrow::overload::Verdict;
 
 const HEAD: usize = 16 << 10;
@@ -100,3 +101,110 @@
         }
     }
 }
+
+const KIB: usize = 1 << 10;
+
+/// Memory for bodies of 100 KiB beyond what each holds of its own.
+fn memory() -> overload::Memory {
+    overload::Memory::new(100 * KIB)
+}
+
+/// Begins a body and receives so many bytes at once.
+fn begin(memory: &mut overload::Memory, at: u64, bytes: usize) -> u64 {
+    let id = memory.begin(millis(at));
+    memory.receive(millis(at), id, bytes);
+    id
+}
+
+#[test]
+fn stalled_body_yields() {
+    let mut memory = memory();
+    let held = begin(&mut memory, 0, 90 * KIB);
+    assert_eq!(memory.grow(millis(0), held, 98 * KIB), Grant::Granted);
+    let other = begin(&mut memory, 2_000, 20 * KIB);
+    assert_eq!(
+        memory.grow(millis(2_000), other, 40 * KIB),
+        Grant::Yields(held)
+    );
+    // One that has been told to end is not told again.
+    assert_eq!(memory.grow(millis(2_001), other, 40 * KIB), Grant::Waits);
+    memory.abandon(held);
+    assert_eq!(memory.grow(millis(2_002), other, 40 * KIB), Grant::Granted);
+}
+
+#[test]
+fn slower_body_yields() {
+    let mut memory = memory();
+    let slow = begin(&mut memory, 0, 90 * KIB);
+    assert_eq!(memory.grow(millis(0), slow, 98 * KIB), Grant::Granted);
+    memory.receive(millis(9_900), slow, 4 * KIB);
+    let fast = begin(&mut memory, 10_000, 20 * KIB);
+    assert_eq!(
+        memory.grow(millis(10_000), fast, 40 * KIB),
+        Grant::Yields(slow)
+    );
+}
+
+#[test]
+fn faster_body_stays() {
+    let mut memory = memory();
+    let fast = begin(&mut memory, 0, 90 * KIB);
+    assert_eq!(memory.grow(millis(0), fast, 98 * KIB), Grant::Granted);
+    let slow = begin(&mut memory, 0, 10 * KIB);
+    assert_eq!(memory.grow(millis(100), slow, 40 * KIB), Grant::Waits);
+}
+
+/// A request that is being served keeps its body.
+#[test]
+fn whole_body_stays() {
+    let mut memory = memory();
+    let whole = begin(&mut memory, 0, 98 * KIB);
+    assert_eq!(memory.grow(millis(0), whole, 98 * KIB), Grant::Granted);
+    let bytes = memory.finish(whole);
+    let other = begin(&mut memory, 5_000, 20 * KIB);
+    assert_eq!(memory.grow(millis(5_000), other, 40 * KIB), Grant::Waits);
+    memory.release(bytes);
+    assert_eq!(memory.grow(millis(5_001), other, 40 * KIB), Grant::Granted);
+}
+
+/// What a body holds of its own counts as its connection's.
+#[test]
+fn small_body_fits() {
+    let mut memory = memory();
+    let held = begin(&mut memory, 0, 100 * KIB);
+    assert_eq!(memory.grow(millis(0), held, 108 * KIB), Grant::Granted);
+    let small = begin(&mut memory, 0, 4 * KIB);
+    assert_eq!(memory.grow(millis(0), small, 8 * KIB), Grant::Granted);
+    assert_eq!(memory.used(), 100 * KIB);
+}
+
+proptest! {
+    /// Whatever bodies do, no more is used than there is, and all of it is given back.
+    #[test]
+    fn memory_always_holds(steps in prop::collection::vec((0_u8..5, 0_u64..12, 1_usize..64), 1..200)) {
+        let mut memory = memory();
+        let mut whole = Vec::new();
+        for (at, (step, id, kib)) in steps.into_iter().enumerate() {
+            let now = millis(at as u64 * 100);
+            match step {
+                0 => {
+                    memory.begin(now);
+                }
+                1 => {
+                    memory.receive(now, id, kib * KIB);
+                }
+                2 => {
+                    if let Grant::Yields(other) = memory.grow(now, id, kib * KIB) {
+                        prop_assert_ne!(other, id);
+                    }
+                }
+                3 => memory.abandon(id),
+                _ => whole.push(memory.finish(id)),
+            }
+            prop_assert!(memory.used() <= 100 * KIB);
+        }
+        (0..200).for_each(|id| memory.abandon(id));
+        whole.into_iter().for_each(|bytes| memory.release(bytes));
+        prop_assert_eq!(memory.used(), 0);
+    }
+}
