--- a/tests/overload_bounds.rs
+++ b/tests/overload_bounds.rs
@@ -204,7 +204,9 @@
             prop_assert!(memory.used() <= 100 * KIB);
         }
         (0..200).for_each(|id| memory.abandon(id));
-        whole.into_iter().for_each(|bytes| memory.release(bytes));
+        for bytes in whole {
+            memory.release(bytes);
+        }
         prop_assert_eq!(memory.used(), 0);
     }
 }
