Serve the daemon's HTTP interface on the bounded listener

What callers saw: wigeonbarrowd ran out of memory: 300 heads or empty lines without end took 68 to 81 MB on a machine of 64 MB, 150 bodies held short of their end 251 MB; chunked or oversized ones kept ordinary callers from an answer, since each reserved the largest body at once; 800 idle connections took all descriptors, for good. Cause: rocket's own listener has no limit on heads, on the time for one, on idle time or on connections, and offers none to set. The pool for bodies was of 1 GiB, whatever the machine. Change: the daemon's requests come by the same listener as the platform's, with the bounds of its machine (--memory-mb, and the limit on open files), and are dispatched to rocket's routes in the process. Handlers read the body when they have checked the key, as before, from a pool that is no larger than a quarter of the machine's memory. A caller that leaves a stream is noticed at once.

--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -9,26 +9,36 @@
 use slog::Drain;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
+use tokio::sync::watch;
 use wigeonbarrow::edge::conf;
 use wigeonbarrow::edge::control;
 use wigeonbarrow::edge::entry;
 use wigeonbarrow::edge::event::Event;
+use wigeonbarrow::edge::guard;
 use wigeonbarrow::edge::http;
 use wigeonbarrow::edge::link;
+use wigeonbarrow::edge::listener as edge_listener;
 use wigeonbarrow::edge::node;
 use wigeonbarrow::edge::settings;
 use wigeonbarrow::edge::sidecar;
 use wigeonbarrow::edge::signal;
 use wigeonbarrow::log_event;
+use wigeonbarrow::overload;
 use wigeonbarrow::wire::member;
 
 /// Time for another control process to take the leadership over.
 const HAND_OVER: Duration = Duration::from_secs(3);
 
-/// Pause between two looks at what is still in progress.
+/// Time for connections to end once nothing is in progress.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Connections that may wait for their accept.
+const BACKLOG: u32 = 1_024;
+
 /// Time for callers to be told that their requests end with the process.
 const DELIVERY: Duration = Duration::from_millis(500);
 
+/// Pause between two looks at what is still in progress.
 const DRAIN_POLL: Duration = Duration::from_millis(50);
 
 fn main() {
@@ -91,18 +101,17 @@
     let handler = Arc::clone(&node);
     let mut links = tokio::spawn(async move { link::serve(listener, &link_key, handler).await });
     let front = http::Front::new(&node, &settings.http);
-    let rocket = http::build(&front, &settings.http)
-        .ignite()
-        .await
-        .context("HTTP listener")?;
-    let stop = rocket.shutdown();
-    let mut web = tokio::spawn(rocket.launch());
+    let routes = http::dispatch::Routes::launch(http::build(&front)).await?;
+    let web = edge_listener::bind(settings.http.listen, BACKLOG)
+        .with_context(|| format!("HTTP listener {}", settings.http.listen))?;
+    let refused = guard::Count::new(node.metrics());
+    let users = overload::Users::All;
+    let guard = guard::Guard::new(users, &settings.http.machine, &refused, log);
+    let (stage, stages) = watch::channel(edge_listener::Stage::Open);
+    let open = Arc::clone(&guard);
+    tokio::spawn(edge_listener::serve(web, routes, stages, open, None));
     log_event!(log, Event::Started, "name" => &settings.node.name, "http" => settings.http.listen, "link" => settings.link_listen);
     tokio::select! {
-        ended = &mut web => {
-            ended.context("HTTP listener")?.context("HTTP listener")?;
-            anyhow::bail!("the HTTP listener ended");
-        }
         ended = &mut links => {
             anyhow::bail!("the link listener ended: {ended:?}");
         }
@@ -114,8 +123,9 @@
     if let Some(control) = node.control() {
         control.transfer_leadership(HAND_OVER).await;
     }
-    stop.notify();
-    let _ = web.await;
+    // Fails only if the listener has ended already.
+    let _ = stage.send(edge_listener::Stage::Closing);
+    let _ = tokio::time::timeout(CLOSE_TIMEOUT, closed(&guard)).await;
     log_event!(log, Event::Stopped, "in_progress" => node.in_progress());
     Ok(())
 }
@@ -193,3 +203,10 @@
         tokio::time::sleep(DRAIN_POLL).await;
     }
 }
+
+/// Waits until no connection is open.
+async fn closed(guard: &guard::Guard) {
+    while guard.open_connections() > 0 {
+        tokio::time::sleep(DRAIN_POLL).await;
+    }
+}
--- a/src/edge/body.rs
+++ b/src/edge/body.rs
@@ -95,13 +95,13 @@
         self.memory().used()
     }
 
-    /// Reads a whole body. Its memory is given back when the bytes are dropped.
+    /// Reads a whole body.
     pub async fn read(
         self: &Arc<Self>,
         body: &mut body::Incoming,
         slot: &guard::Slot,
         limits: &Limits,
-    ) -> Result<Bytes, Failure> {
+    ) -> Result<Whole, Failure> {
         let read = self.read_within(body, slot, limits).await;
         slot.serve();
         if let Some(cause) = read.as_ref().err().and_then(|failure| failure.cause()) {
@@ -115,13 +115,10 @@
         body: &mut body::Incoming,
         slot: &guard::Slot,
         limits: &Limits,
-    ) -> Result<Bytes, Failure> {
+    ) -> Result<Whole, Failure> {
         if is_announced_over(body, limits.bytes) {
             return Err(Failure::TooLarge);
         }
-        if body.is_end_stream() {
-            return Ok(Bytes::new());
-        }
         let announced = body.size_hint().exact().map(|bytes| bytes as usize);
         let most = announced.unwrap_or(limits.bytes);
         let mut reader = Reader::new(self, most);
@@ -283,14 +280,15 @@
         }
     }
 
-    fn finish(mut self) -> Bytes {
+    fn finish(mut self) -> Whole {
         let held = self.pool.memory().finish(self.id);
-        let bytes = std::mem::take(&mut self.bytes);
-        Bytes::from_owner(Whole {
-            bytes,
-            pool: Arc::clone(&self.pool),
-            held,
-        })
+        Whole {
+            bytes: std::mem::take(&mut self.bytes),
+            claim: Claim {
+                pool: Arc::clone(&self.pool),
+                bytes: held,
+            },
+        }
     }
 }
 
@@ -302,11 +300,19 @@
     }
 }
 
-/// A whole body with its memory.
-struct Whole {
-    bytes: Vec<u8>,
-    pool: Arc<Pool>,
-    held: usize,
+/// A body that was read whole.
+#[derive(Debug)]
+pub struct Whole {
+    pub bytes: Vec<u8>,
+    /// Its memory, held until the request has ended.
+    pub claim: Claim,
+}
+
+impl Whole {
+    /// The body as shared bytes, which hold the claim as long as they are used.
+    pub fn into_bytes(self) -> Bytes {
+        Bytes::from_owner(self)
+    }
 }
 
 impl AsRef<[u8]> for Whole {
@@ -315,9 +321,16 @@
     }
 }
 
-impl Drop for Whole {
+/// Memory of a body that was read whole. Dropping it gives the memory back.
+#[derive(Debug)]
+pub struct Claim {
+    pool: Arc<Pool>,
+    bytes: usize,
+}
+
+impl Drop for Claim {
     fn drop(&mut self) {
-        self.pool.memory().release(self.held);
+        self.pool.memory().release(self.bytes);
         self.pool.freed.notify_waiters();
     }
 }
--- a/src/edge/direct/relay.rs
+++ b/src/edge/direct/relay.rs
@@ -176,7 +176,7 @@
             return Err(body_rejection(body::Failure::Broken));
         };
         let body = self.bodies.read(body, &slot, &limits).await;
-        let body = body.map_err(body_rejection)?;
+        let body = body.map_err(body_rejection)?.into_bytes();
         // The configuration may have changed while the body came.
         let catalog = self
             .catalog_for(&request, head.uri.path(), startup_wait)
--- a/src/edge/http.rs
+++ b/src/edge/http.rs
@@ -1,7 +1,6 @@
-//! The HTTP listener of a process, based on rocket: routes for callers, backend servers, operators
+//! The HTTP interface of a process, based on rocket: routes for callers, backend servers, operators
 //! and health checks.
 
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -12,7 +11,9 @@
 use rocket::http::ContentType;
 use rocket::http::Status;
 
+use super::body as edge_body;
 use super::node;
+use crate::overload;
 use crate::wire::outcome;
 
 pub mod admin;
@@ -21,16 +22,10 @@
 pub mod auth;
 pub mod body;
 pub mod completions;
+pub mod dispatch;
 pub mod openai;
 pub mod services;
 
-/// Grace and mercy periods of rocket's shutdown. Short, because the process drains before it shuts
-/// rocket down: by then nothing is in progress, or the drain limit has passed.
-const SHUTDOWN_SECONDS: u32 = 2;
-
-/// Idle timeout of a connection.
-const KEEP_ALIVE_SECONDS: u32 = 30;
-
 /// How long a starting entry waits for a backend server of every service to announce itself before
 /// it reports ready anyway. One lease: every live server announces itself within it.
 const DISCOVERY_TIMEOUT: Duration = Duration::from_secs(3);
@@ -50,7 +45,9 @@
     pub operator_key: String,
     /// Key of the backend server next to a sidecar.
     pub backend_key: String,
-    /// Maximum total bytes of callers' bodies in memory.
+    /// Limits of the machine on this process.
+    pub machine: overload::Machine,
+    /// Maximum total bytes of callers' bodies in memory. The machine may allow less.
     pub body_memory: usize,
     /// Timeout for receiving a body.
     pub body_timeout: Duration,
@@ -60,17 +57,24 @@
 pub struct Front {
     node: Arc<node::Node>,
     auth: auth::Auth,
-    bodies: body::Pool,
+    bodies: Arc<edge_body::Pool>,
+    /// Bytes of the pool of bodies.
+    body_memory: usize,
+    body_timeout: Duration,
     ready: AtomicBool,
 }
 
 impl Front {
     /// Creates the shared state for the routes of `node`.
     pub fn new(node: &Arc<node::Node>, settings: &Settings) -> Arc<Self> {
+        let bounds = settings.machine.bounds(overload::Users::All);
+        let body_memory = bounds.bodies.min(settings.body_memory);
         Arc::new(Self {
             node: Arc::clone(node),
             auth: auth::Auth::new(&settings.operator_key, &settings.backend_key),
-            bodies: body::Pool::new(settings.body_memory, settings.body_timeout),
+            bodies: edge_body::Pool::new(body_memory),
+            body_memory,
+            body_timeout: settings.body_timeout,
             ready: AtomicBool::new(true),
         })
     }
@@ -86,22 +90,10 @@
     }
 }
 
-/// Builds the listener with the routes of the process's roles.
-pub fn build(front: &Arc<Front>, settings: &Settings) -> rocket::Rocket<rocket::Build> {
-    let shutdown = config::Shutdown {
-        ctrlc: false,
-        signals: HashSet::new(),
-        grace: SHUTDOWN_SECONDS,
-        mercy: SHUTDOWN_SECONDS,
-        force: false,
-        ..config::Shutdown::default()
-    };
+/// Builds the routes of the process's roles.
+pub fn build(front: &Arc<Front>) -> rocket::Rocket<rocket::Build> {
     let conf = rocket::Config {
-        address: settings.listen.ip(),
-        port: settings.listen.port(),
-        keep_alive: KEEP_ALIVE_SECONDS,
         log_level: config::LogLevel::Off,
-        shutdown,
         ..rocket::Config::release_default()
     };
     let mut rocket = rocket::custom(conf)
--- a/src/edge/http/admin.rs
+++ b/src/edge/http/admin.rs
@@ -10,6 +10,7 @@
 use super::Front;
 use super::answer;
 use super::auth;
+use super::body;
 use crate::control::replica;
 use crate::control::state;
 use crate::edge::control as edge_control;
@@ -218,13 +219,13 @@
 }
 
 /// Adds, removes or replaces a member.
-#[rocket::post("/members", data = "<data>")]
+#[rocket::post("/members")]
 async fn change_members(
     front: &rocket::State<Arc<Front>>,
     headers: auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Json {
-    let order = read_json(front, &headers, data).await?;
+    let order = read_json(front, &headers, body).await?;
     json(&control(front)?.order(order).await)
 }
 
@@ -232,10 +233,10 @@
 async fn read_json<T: DeserializeOwned>(
     front: &Front,
     headers: &auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Result<T, answer::Error> {
     front.auth.operator(headers)?;
-    let body = front.bodies.read(headers, data).await?;
+    let body = body.read(front).await?;
     serde_json::from_slice(&body.bytes).map_err(|err| answer::Error::bad_request(&err.to_string()))
 }
 
@@ -250,26 +251,26 @@
     answer::Error::new(failure)
 }
 
-#[rocket::post("/config", data = "<data>")]
+#[rocket::post("/config")]
 async fn change(
     front: &rocket::State<Arc<Front>>,
     headers: auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Json {
-    let change: agree::Change = read_json(front, &headers, data).await?;
+    let change: agree::Change = read_json(front, &headers, body).await?;
     let command = agree::Command::Configure(change);
     let verdict = front.node().propose(command, CHANGE_TIMEOUT).await;
     json(&verdict)
 }
 
 /// Sends an order to a backend server. Returns its fencing number.
-#[rocket::post("/orders", data = "<data>")]
+#[rocket::post("/orders")]
 async fn orders(
     front: &rocket::State<Arc<Front>>,
     headers: auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Json {
-    let wish: order::Wish = read_json(front, &headers, data).await?;
+    let wish: order::Wish = read_json(front, &headers, body).await?;
     let Some(role) = front.node().entry() else {
         return Err(answer::Error::bad_request("orders are given at an entry"));
     };
--- a/src/edge/http/announce.rs
+++ b/src/edge/http/announce.rs
@@ -7,6 +7,7 @@
 use super::Front;
 use super::answer;
 use super::auth;
+use super::body;
 use crate::edge::sidecar;
 
 /// The routes, below `/v1`.
@@ -14,14 +15,14 @@
     rocket::routes![announce]
 }
 
-#[rocket::post("/announce", data = "<data>")]
+#[rocket::post("/announce")]
 async fn announce(
     front: &rocket::State<Arc<Front>>,
     headers: auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Result<(ContentType, String), answer::Error> {
     front.auth.backend(&headers)?;
-    let body = front.bodies.read(&headers, data).await?;
+    let body = body.read(front).await?;
     let announcement: sidecar::Announcement = serde_json::from_slice(&body.bytes)
         .map_err(|err| answer::Error::bad_request(&err.to_string()))?;
     let Some(role) = front.node().sidecar() else {
--- a/src/edge/http/body.rs
+++ b/src/edge/http/body.rs
@@ -1,88 +1,97 @@
-//! Reads callers' bodies within limits of size, time and memory.
+//! The bodies of requests, which a handler reads once it knows that it takes the request.
 
+use std::convert::Infallible;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
-use rocket::data::ToByteUnit;
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
-use tokio::time;
+use hyper::body;
+use rocket::request;
+use tokio::sync::Mutex;
 
+use super::Front;
 use super::answer;
-use super::auth;
+use crate::edge::body as edge_body;
+use crate::edge::guard;
 use crate::wire::outcome;
 
 /// Maximum size of a body in bytes. Fits a million tokens of 8 bytes each, with JSON escapes and the
 /// rest of the JSON.
 pub const MAX_BODY: usize = 24 << 20;
 
-/// Granularity in which body memory is reserved.
-const UNIT_BYTES: usize = 4 << 10;
-
 /// Delay before a caller should retry, in milliseconds.
 const RETRY_MS: u64 = 1_000;
 
-/// Memory pool for callers' bodies.
-pub struct Pool {
-    units: Arc<Semaphore>,
-    /// Timeout for receiving a body.
-    timeout: Duration,
+/// The body of a request, not read yet.
+#[derive(Clone)]
+pub struct Unread {
+    body: Arc<Mutex<Option<body::Incoming>>>,
+    /// Place of the connection that it comes by.
+    slot: Arc<guard::Slot>,
 }
 
-/// A body with its share of the pool, which is released when `permit` is dropped.
-pub struct Body {
-    pub bytes: Vec<u8>,
-    /// Held until the request has ended.
-    pub permit: OwnedSemaphorePermit,
+#[rocket::async_trait]
+impl<'r> request::FromRequest<'r> for Unread {
+    type Error = Infallible;
+
+    async fn from_request(
+        request: &'r request::Request<'_>,
+    ) -> request::Outcome<Self, Self::Error> {
+        match Self::of(request) {
+            Some(unread) => request::Outcome::Success(unread),
+            None => request::Outcome::Forward(rocket::http::Status::InternalServerError),
+        }
+    }
 }
 
-impl Pool {
-    /// A pool of `memory` bytes. Bodies must arrive within `timeout`.
-    pub fn new(memory: usize, timeout: Duration) -> Self {
+impl Unread {
+    pub(super) fn new(body: body::Incoming, slot: &Arc<guard::Slot>) -> Self {
         Self {
-            units: Arc::new(Semaphore::new(memory / UNIT_BYTES)),
-            timeout,
+            body: Arc::new(Mutex::new(Some(body))),
+            slot: Arc::clone(slot),
         }
     }
 
-    /// Reads a full body. A body without a Content-Length reserves the maximum size.
-    pub async fn read(
-        &self,
-        headers: &auth::Headers<'_>,
-        data: rocket::Data<'_>,
-    ) -> Result<Body, answer::Error> {
-        let length = headers.0.get_one("Content-Length");
-        let expected = match length.map(str::parse::<usize>) {
-            None => MAX_BODY,
-            Some(Ok(length)) if length <= MAX_BODY => length,
-            Some(Ok(_)) => return Err(too_large()),
-            Some(Err(_)) => {
-                return Err(answer::Error::bad_request("Content-Length is not a number"));
-            }
+    /// Attaches the body to a request.
+    pub(super) fn attach(&self, request: &request::Request<'_>) {
+        request.local_cache(|| Some(self.clone()));
+    }
+
+    /// The body that was attached to a request.
+    pub fn of(request: &request::Request<'_>) -> Option<Self> {
+        request.local_cache(|| None::<Self>).clone()
+    }
+
+    /// Reads the body whole.
+    pub async fn read(&self, front: &Front) -> Result<edge_body::Whole, answer::Error> {
+        let Some(mut body) = self.body.lock().await.take() else {
+            return Err(answer::Error::bad_request("the body was read already"));
         };
-        let units = expected.div_ceil(UNIT_BYTES).max(1) as u32;
-        let permit = Arc::clone(&self.units)
-            .try_acquire_many_owned(units)
-            .map_err(|_| out_of_memory())?;
-        let read = data.open(MAX_BODY.bytes()).into_bytes();
-        let read = time::timeout(self.timeout, read).await;
-        let bytes = match read {
-            Ok(Ok(bytes)) => bytes,
-            Ok(Err(_)) => return Err(answer::Error::bad_request("the body ended early")),
-            Err(_) => return Err(timed_out(self.timeout)),
+        let limits = edge_body::Limits {
+            bytes: MAX_BODY.min(front.body_memory),
+            idle: front.body_timeout,
+            deadline: Instant::now() + front.body_timeout,
         };
-        if !bytes.is_complete() {
-            return Err(too_large());
-        }
-        Ok(Body {
-            bytes: bytes.into_inner(),
-            permit,
+        let read = front.bodies.read(&mut body, &self.slot, &limits).await;
+        read.map_err(|failure| match failure {
+            edge_body::Failure::TooLarge => too_large(limits.bytes),
+            edge_body::Failure::Broken => answer::Error::bad_request("the body ended early"),
+            edge_body::Failure::Late => timed_out(front.body_timeout),
+            edge_body::Failure::Yielded => yielded(),
+            edge_body::Failure::Full => out_of_memory(),
         })
     }
+
+    /// Drops the body if it was not read.
+    pub(super) async fn discard(self) {
+        if let Some(body) = self.body.lock().await.take() {
+            edge_body::discard(body, MAX_BODY);
+        }
+    }
 }
 
-fn too_large() -> answer::Error {
-    let text = format!("the body is larger than {MAX_BODY} bytes");
+fn too_large(most: usize) -> answer::Error {
+    let text = format!("the body is larger than {most} bytes");
     let failure = outcome::Failure::not_run(outcome::Cause::TooLarge, None, &text);
     answer::Error::new(failure)
 }
@@ -93,6 +102,12 @@
     answer::Error::new(failure)
 }
 
+fn yielded() -> answer::Error {
+    let text = "the body came more slowly than others while memory was used up";
+    let failure = outcome::Failure::not_run(outcome::Cause::SlowCaller, Some(RETRY_MS), text);
+    answer::Error::new(failure)
+}
+
 fn timed_out(timeout: Duration) -> answer::Error {
     let text = format!("the body did not come within {} ms", timeout.as_millis());
     let failure = outcome::Failure::not_run(outcome::Cause::SlowCaller, Some(RETRY_MS), &text);
--- a/src/edge/http/completions.rs
+++ b/src/edge/http/completions.rs
@@ -12,15 +12,16 @@
 use rocket::response;
 use rocket::response::stream::ByteStream;
 use serde::Serialize;
-use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::mpsc;
 use tokio::time;
 
 use super::Front;
 use super::answer;
 use super::auth;
+use super::body;
 use super::openai;
 use crate::config;
+use crate::edge::body as edge_body;
 use crate::edge::entry;
 use crate::wire::id;
 use crate::wire::outcome;
@@ -115,7 +116,7 @@
     first: Option<entry::Part>,
     rx: mpsc::Receiver<entry::Part>,
     /// The body's share of the memory pool, held until the response has ended.
-    permit: OwnedSemaphorePermit,
+    claim: edge_body::Claim,
 }
 
 impl<'r> response::Responder<'r, 'r> for Response {
@@ -165,7 +166,7 @@
                     }
                 }
             }
-            drop(self.permit);
+            drop(self.claim);
         }
     }
 
@@ -175,36 +176,36 @@
     }
 }
 
-#[rocket::post("/completions", data = "<data>")]
+#[rocket::post("/completions")]
 async fn text(
     front: &rocket::State<Arc<Front>>,
     headers: auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Result<Response, answer::Error> {
-    complete(front, openai::Form::Text, &headers, data).await
+    complete(front, openai::Form::Text, &headers, body).await
 }
 
-#[rocket::post("/chat/completions", data = "<data>")]
+#[rocket::post("/chat/completions")]
 async fn chat(
     front: &rocket::State<Arc<Front>>,
     headers: auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Result<Response, answer::Error> {
-    complete(front, openai::Form::Chat, &headers, data).await
+    complete(front, openai::Form::Chat, &headers, body).await
 }
 
 async fn complete(
     front: &Front,
     form: openai::Form,
     headers: &auth::Headers<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Result<Response, answer::Error> {
     let conf = front.node.conf();
     let workspace = front.auth.workspace(&conf, headers)?;
     let request = id::Request(rand::random());
     let reject = |failure| answer::Error::of(request, failure);
     let options = Options::read(headers).map_err(reject)?;
-    let body = front.bodies.read(headers, data).await?;
+    let body = body.read(front).await?;
     let prompt =
         openai::parse(form, &body.bytes).map_err(|text| reject(answer::bad_request(&text)))?;
     drop(body.bytes);
@@ -250,7 +251,7 @@
         include_usage: prompt.include_usage,
         first,
         rx,
-        permit: body.permit,
+        claim: body.claim,
     }))
 }
 
--- a/src/edge/http/services.rs
+++ b/src/edge/http/services.rs
@@ -16,6 +16,7 @@
 use super::Front;
 use super::answer;
 use super::auth;
+use super::body;
 use super::completions;
 use crate::config;
 use crate::edge::entry;
@@ -66,7 +67,10 @@
         let Some(front) = request.rocket().state::<Arc<Front>>() else {
             return route::Outcome::Error(Status::InternalServerError);
         };
-        match call(front, request, data).await {
+        let Some(body) = body::Unread::of(request) else {
+            return route::Outcome::forward(data, Status::InternalServerError);
+        };
+        match call(front, request, body).await {
             Ok(response) => route::Outcome::from(request, response),
             Err(error) => route::Outcome::from(request, error),
         }
@@ -107,7 +111,7 @@
 async fn call(
     front: &Front,
     request: &Request<'_>,
-    data: rocket::Data<'_>,
+    body: body::Unread,
 ) -> Result<Response, answer::Error> {
     let conf = front.node.conf();
     let headers = auth::Headers(request.headers());
@@ -119,7 +123,7 @@
     check_plain(&conf, service).map_err(reject)?;
     let method = request.method();
     let route = find_route(&conf, service, &path, method);
-    let body = front.bodies.read(&headers, data).await?;
+    let body = body.read(front).await?;
     let default = route.map_or(TIME_LIMIT, |r| Duration::from_millis(r.time_limit_ms));
     let repeatable = route.map_or_else(|| is_safe(method), |route| route.repeatable);
     let submission = entry::Submission {
@@ -129,7 +133,7 @@
         limit: options.limit.unwrap_or(default),
         repeatable: repeatable && !options.not_repeatable,
         key: options.key,
-        body: Bytes::from(body.bytes),
+        body: body.into_bytes(),
         work: run::Work::Http {
             method: method.as_str().to_owned(),
             path,
--- a/src/edge/settings.rs
+++ b/src/edge/settings.rs
@@ -14,10 +14,12 @@
 
 use super::control;
 use super::http;
+use super::machine;
 use super::node;
 use super::sidecar;
 use crate::control::consensus;
 use crate::control::replica;
+use crate::overload;
 
 /// Exit code: the settings have findings.
 pub const EXIT_SETTINGS: i32 = 2;
@@ -118,6 +120,12 @@
             .value_parser(["json", "term"])
             .default_value("json"),
         number("workers", "Threads for input and output", "2"),
+        arg(
+            "memory-mb",
+            "N",
+            "Memory that this process may use, in MB [default: the machine's]",
+        )
+        .value_parser(value_parser!(u64).range(1..)),
         number("body-memory-mb", "Memory for callers' bodies in MB", "1024"),
         number(
             "body-timeout-ms",
@@ -249,6 +257,7 @@
             operator_key,
             backend_key: backend_key.clone(),
             body_timeout: Duration::from_millis(count(matches, "body-timeout-ms")),
+            machine: machine(matches),
             body_memory: (count(matches, "body-memory-mb") as usize) << 20,
         },
         entry: has("entry"),
@@ -273,6 +282,16 @@
     })
 }
 
+/// The machine's limits, with what the settings say of its memory.
+fn machine(matches: &ArgMatches) -> overload::Machine {
+    let found = machine::read();
+    let memory = matches.get_one::<u64>("memory-mb");
+    overload::Machine {
+        memory: memory.map_or(found.memory, |mb| (*mb as usize) << 20),
+        ..found
+    }
+}
+
 /// A key from the environment or its file.
 fn key(matches: &ArgMatches, name: &str, needed: bool, findings: &mut Vec<String>) -> String {
     let flag = format!("{name}-key-file");
