Take the memory of responses and the size of heads from the machine too

Cause: responses that are read whole shared 32 MiB whatever the machine had, half of one of 64 MB; a configuration with a huge limit on heads would have left room for one connection; a link from another process could send headers of 16 MiB before its key was read. Change: responses share a fifth of the machine's memory (the same 32 MiB on one of 160 MB). Heads are bounded so that some dozens of connections always fit. Links take headers of up to 16 KiB, by the library's own setting. The memory in use for bodies is a metric.

--- a/src/edge/direct.rs
+++ b/src/edge/direct.rs
@@ -215,7 +215,7 @@
             queue: queue::Queue::new(settings.waiting),
             progress: progress::Table::default(),
             bodies: body::Pool::new(settings.machine.bounds(overload::Users::Callers).bodies),
-            buffers: Arc::default(),
+            buffers: buffer::Pool::new(settings.machine.responses()),
             loads_changed: Notify::new(),
             broadcasts: Mutex::default(),
             message_queued: Notify::new(),
@@ -412,6 +412,7 @@
         self.log_ended_pauses();
         self.prune_grants();
         self.count_waiting();
+        self.counts.set_body_bytes(self.bodies.used());
         let now = self.node.now();
         let mut state = self.state();
         state.register.prune(now);
--- a/src/edge/direct/buffer.rs
+++ b/src/edge/direct/buffer.rs
@@ -10,16 +10,23 @@
 /// Bytes that each response may take. Beyond that it takes from what all of them share.
 const OWN_BYTES: usize = 64 << 10;
 
-/// Bytes that all responses together may take beyond their own.
-const SHARED_BYTES: usize = 32 << 20;
-
 /// Counts the shared bytes in use.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Pool {
+    /// Bytes that all responses together may take beyond their own.
+    most: usize,
     used: AtomicUsize,
 }
 
 impl Pool {
+    /// A pool of `most` bytes.
+    pub fn new(most: usize) -> Arc<Self> {
+        Arc::new(Self {
+            most,
+            used: AtomicUsize::new(0),
+        })
+    }
+
     /// Bytes in use.
     pub fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
@@ -52,7 +59,7 @@
         let grown = self.bytes + more;
         let shared = shared(grown) - shared(self.bytes);
         let used = self.pool.used.fetch_add(shared, Ordering::Relaxed);
-        if shared > 0 && used + shared > SHARED_BYTES {
+        if shared > 0 && used + shared > self.pool.most {
             self.pool.used.fetch_sub(shared, Ordering::Relaxed);
             return false;
         }
--- a/src/edge/direct/count.rs
+++ b/src/edge/direct/count.rs
@@ -71,6 +71,7 @@
     running: gauge::Gauge,
     waiting: family::Family<Classed, gauge::Gauge>,
     waiting_bytes: gauge::Gauge,
+    body_bytes: gauge::Gauge,
     waiting_oldest: family::Family<Classed, gauge::Gauge<f64, AtomicU64>>,
     refused_heartbeats: counter::Counter,
     sent: family::Family<For, counter::Counter>,
@@ -106,6 +107,7 @@
             running: gauge::Gauge::default(),
             waiting: family::Family::default(),
             waiting_bytes: gauge::Gauge::default(),
+            body_bytes: gauge::Gauge::default(),
             waiting_oldest: family::Family::default(),
             refused_heartbeats: counter::Counter::default(),
             sent: family::Family::default(),
@@ -188,6 +190,8 @@
             sub.register("running", "Requests in progress", own.running);
             sub.register("waiting", "Requests that wait for a place", own.waiting);
             sub.register("waiting_bytes", "Bytes of their bodies", own.waiting_bytes);
+            let help = "Bytes of memory in use for callers' bodies";
+            sub.register("body_bytes", help, own.body_bytes);
             sub.register(
                 "waiting_oldest_seconds",
                 "Time since the oldest of them arrived",
@@ -264,6 +268,12 @@
         self.waiting_bytes.set(bytes);
     }
 
+    /// Sets the memory in use for callers' bodies.
+    pub fn set_body_bytes(&self, bytes: usize) {
+        let bytes = i64::try_from(bytes).unwrap_or(i64::MAX);
+        self.body_bytes.set(bytes);
+    }
+
     /// A caller's request started.
     pub fn request_started(&self) {
         self.running.inc();
--- a/src/edge/guard.rs
+++ b/src/edge/guard.rs
@@ -132,6 +132,11 @@
         })
     }
 
+    /// Largest head of a request, if `configured` bytes are allowed.
+    pub fn head_bytes(&self, configured: usize) -> usize {
+        self.bounds.head_bytes(configured)
+    }
+
     /// Number of open connections.
     pub fn open_connections(&self) -> usize {
         self.connections().len()
--- a/src/edge/link.rs
+++ b/src/edge/link.rs
@@ -51,6 +51,9 @@
 /// a restart of all, 40 of 70 entries had their configuration a second later for it than the others.
 const FIRST_CONNECT: Duration = Duration::from_millis(150);
 
+/// Largest headers of a stream.
+const HEADER_BYTES: u32 = 16 << 10;
+
 /// Most streams that one link may have open.
 const MAX_STREAMS: u32 = 20_000;
 
@@ -415,6 +418,7 @@
         .initial_connection_window_size(LINK_WINDOW)
         .max_frame_size(FRAME_SIZE)
         .max_concurrent_streams(MAX_STREAMS)
+        .max_header_list_size(HEADER_BYTES)
         .handshake::<_, Bytes>(tcp);
     let mut connection = time::timeout(OPEN_TIMEOUT, handshake)
         .await
--- a/src/edge/listener.rs
+++ b/src/edge/listener.rs
@@ -345,7 +345,10 @@
             }
             continue;
         }
-        let Some(slot) = guard.admit(handler.limits().head_bytes).await else {
+        let Some(slot) = guard
+            .admit(guard.head_bytes(handler.limits().head_bytes))
+            .await
+        else {
             drop(tcp);
             refused += 1;
             if refused % REFUSED_AT_ONCE == 0 {
@@ -374,7 +377,7 @@
         // The caller has disconnected already.
         return;
     }
-    let head_bytes = handler.limits().head_bytes;
+    let head_bytes = slot.guard().head_bytes(handler.limits().head_bytes);
     let has_read = Arc::new(AtomicBool::new(false));
     let timer = Timer {
         handler: Arc::clone(&handler),
--- a/src/overload.rs
+++ b/src/overload.rs
@@ -25,6 +25,9 @@
 /// Shortest time over which the pace of a body is taken.
 const MIN_PACE_TIME: Duration = Duration::from_millis(50);
 
+/// Connections with heads of the largest size that each listener has room for.
+const MIN_CONNECTIONS: usize = 32;
+
 /// Limits of the machine on this process.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Machine {
@@ -71,6 +74,12 @@
 }
 
 impl Bounds {
+    /// Largest head, if the configuration allows `configured` bytes: a few dozen connections always
+    /// fit.
+    pub fn head_bytes(&self, configured: usize) -> usize {
+        configured.min(self.connections / (2 * MIN_CONNECTIONS))
+    }
+
     /// Most open connections, if each may send heads of `head_bytes`. A buffer that has grown may be
     /// twice as large as what it holds.
     pub fn connections(&self, head_bytes: usize) -> usize {
@@ -80,6 +89,11 @@
 }
 
 impl Machine {
+    /// Memory for responses that are read whole before they are passed on.
+    pub fn responses(&self) -> usize {
+        self.memory / 5
+    }
+
     /// The bounds of a listener. All listeners of a process together leave a third of its memory and
     /// descriptors: the memory for its state and for responses, and a descriptor for the connection
     /// to the backend server of each caller.
