Keep 32 MiB as the most that responses share

Cause: gave responses a fifth of the machine's memory, which is 4.8 GiB where the settings name no limits. Change: a fifth, 32 MiB at most.

--- a/src/overload.rs
+++ b/src/overload.rs
@@ -25,6 +25,9 @@
 /// Shortest time over which the pace of a body is taken.
 const MIN_PACE_TIME: Duration = Duration::from_millis(50);
 
+/// Most memory for responses that are read whole, in bytes.
+const MAX_RESPONSES: usize = 32 << 20;
+
 /// Connections with heads of the largest size that each listener has room for.
 const MIN_CONNECTIONS: usize = 32;
 
@@ -89,9 +92,10 @@
 }
 
 impl Machine {
-    /// Memory for responses that are read whole before they are passed on.
+    /// Memory for responses that are read whole before they are passed on. Backend servers are few and
+    /// known, so a large machine gives them no more.
     pub fn responses(&self) -> usize {
-        self.memory / 5
+        (self.memory / 5).min(MAX_RESPONSES)
     }
 
     /// The bounds of a listener. All listeners of a process together leave a third of its memory and
