Say what the listeners of a process leave to it

Cause: the comment told of a third of the descriptors, which holds for neither kind of process. Change: the comment only. Result: builds; format is clean.

--- a/src/overload.rs
+++ b/src/overload.rs
@@ -98,9 +98,9 @@
         (self.memory / 5).min(MAX_RESPONSES)
     }
 
-    /// The bounds of a listener. All listeners of a process together leave a third of its memory and
-    /// descriptors: the memory for its state and for responses, and a descriptor for the connection
-    /// to the backend server of each caller.
+    /// The bounds of a listener. All listeners of a process together leave a third of its memory for
+    /// its state and for responses, and a descriptor for the connection to the backend server of each
+    /// caller; those at one listener leave a quarter of the descriptors for links.
     pub fn bounds(&self, users: Users) -> Bounds {
         let usable = self.descriptors.saturating_sub(RESERVED_DESCRIPTORS);
         let (descriptors, connections, bodies) = match users {
