Review: show that the core is lost for good with one disk while a machine joins

Cause: a voter that is silent is taken out before the learner that replaces it becomes one. In between two voters are in force, and the loss of the disk of one of them can't be borne, though two other machines hold what was acknowledged.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# DRAIN: see claim.txt. Needs the build of the deploy file and review/build-2.sh.
+# CONFIG: see claim.txt. Needs the build of the deploy file and review/build-2.sh.
 # Exit code: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
@@ -21,7 +21,7 @@
 }
 trap clean EXIT
 trap 'exit 2' INT TERM HUP
-timeout -k 5 110 "$standin" drain "$folder" "$here/record.txt" &
+timeout -k 5 110 "$standin" core "$folder" "$here/record.txt" &
 case=$!
 wait "$case"
 code=$?
--- a/review/standin-2/src/cluster.rs
+++ b/review/standin-2/src/cluster.rs
@@ -22,6 +22,8 @@
     program: PathBuf,
     pub ips: Vec<Ipv4Addr>,
     core: usize,
+    /// Numbers of the data folders. `None`: the machine has no disk.
+    disks: Vec<Option<u32>>,
     children: Vec<Option<Child>>,
     pids: File,
 }
@@ -32,6 +34,7 @@
         let ips = (1..=core + others).map(|at| Ipv4Addr::new(net[0], net[1], net[2], at as u8));
         let ips: Vec<Ipv4Addr> = ips.collect();
         let children = ips.iter().map(|_| None).collect();
+        let disks = (0..ips.len()).map(|at| (at < core).then_some(0)).collect();
         let pids = OpenOptions::new()
             .create(true)
             .append(true)
@@ -45,6 +48,7 @@
             program,
             ips,
             core,
+            disks,
             children,
             pids,
         })
@@ -69,11 +73,10 @@
             .iter()
             .map(|ip| format!("\"{ip}:{CONTROL}\""))
             .collect();
-        let data = if at < self.core {
-            format!("data_dir = \"{}/data-{at}\"\n", self.folder.display())
-        } else {
-            String::new()
-        };
+        let folder = self.folder.display();
+        let data = self.disks[at].map_or(String::new(), |number| {
+            format!("data_dir = \"{folder}/data-{at}-{number}\"\n")
+        });
         let zone = self.zone(at);
         let seeds = seeds.join(",");
         format!(
@@ -92,7 +95,7 @@
              outer_ms = 5000\nstrict_revoke = false\nrevoke_ms = 5000\nretry_budget_ratio = 0.2\n\
              budget_window_s = 10\nbudget_slack = 110\nrecovery_s = 12\npass_ms = 120\nretry_after_s = 0\n\
              stall_ms = 1500\nhold_max_ms = 20000\nfree_ms = 4000\nidle_max_ms = 9000\n",
-            counts = at < self.core,
+            counts = self.disks[at].is_some(),
         )
     }
 
@@ -119,6 +122,36 @@
         Ok(())
     }
 
+    /// Gives a machine an empty disk: one that had none gets its first, another loses what it had.
+    pub fn new_disk(&mut self, at: usize) {
+        self.disks[at] = Some(self.disks[at].map_or(0, |number| number + 1));
+    }
+
+    /// Whether the metrics of a machine say that it leads control. Only to aim a disruption.
+    pub fn leads(&self, at: usize) -> bool {
+        let timeout = Duration::from_millis(500);
+        let page = http::call(self.addr(at, METRICS), "GET", "/metrics", b"", timeout);
+        page.is_some_and(|page| {
+            let text = String::from_utf8_lossy(&page.body).into_owned();
+            text.lines().any(|line| line == "control_leads 1")
+        })
+    }
+
+    /// Whether the log of a machine holds this text. Only to aim a disruption.
+    pub fn has_logged(&self, at: usize, text: &str) -> bool {
+        let log = fs::read_to_string(self.folder.join(format!("log-{at}")));
+        log.is_ok_and(|log| log.contains(text))
+    }
+
+    /// Kills the process of a machine, without the delay of a shell.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(child) = &mut self.children[at] {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.children[at] = None;
+    }
+
     /// Sends a signal to the process of a machine: STOP, CONT, TERM, KILL.
     pub fn signal(&self, at: usize, name: &str) {
         if let Some(child) = &self.children[at] {
@@ -129,25 +162,6 @@
         }
     }
 
-    /// Waits until the process of a machine has ended. Whether it has in `within`.
-    #[allow(dead_code)]
-    pub fn wait(&mut self, at: usize, within: Duration) -> bool {
-        let steps = within.as_millis() / 10;
-        for _ in 0..=steps {
-            match &mut self.children[at] {
-                Some(child) => {
-                    if child.try_wait().is_ok_and(|status| status.is_some()) {
-                        self.children[at] = None;
-                        return true;
-                    }
-                }
-                None => return true,
-            }
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        false
-    }
-
     /// Whether the process of a machine says that it is ready.
     pub fn is_ready(&self, at: usize) -> bool {
         let timeout = Duration::from_millis(500);
--- a/review/standin-2/src/http.rs
+++ b/review/standin-2/src/http.rs
@@ -96,7 +96,6 @@
 
 /// A response.
 #[derive(Clone, Debug)]
-#[allow(dead_code)]
 pub struct Response {
     pub status: u16,
     pub head: Head,
--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -6,6 +6,7 @@
 
 mod client;
 mod cluster;
+mod core;
 mod drain;
 mod http;
 mod record;
@@ -31,6 +32,7 @@
     let trouble = !trouble;
     let folder = Path::new(folder);
     let held = match case.as_str() {
+        "core" => core::run(folder, &record, trouble),
         "drain" => drain::run(folder, &record, trouble),
         _ => Err(format!("no case {case}")),
     };
