Add no voter beside one that was lost before

What callers saw: nothing yet, found by enumeration. A machine of three is gone for good and another one joins within the 2.4 s in which the first is not yet silent for long enough: four voters, one of them gone. If the disk of the machine that just joined is lost as well, two of four are left and nothing is decided any more, though two of the first three machines never failed.

Cause: a learner that took nobody's place became a voter as soon as it had caught up, whatever the voters did. A fourth voter raises the quorum from two to three.

Change: with open admission such a learner becomes a voter only if every voter answered a message that was sent since the learner was admitted. That compares two events, no time limit: a voter that was lost before either answers again, or turns silent and the learner takes its place by an exchange. An operator's order to add a member is carried out as before.

--- a/src/control/consensus.rs
+++ b/src/control/consensus.rs
@@ -143,6 +143,8 @@
     /// Whether the leader is searching for the last index where the logs agree. Invariant:
     /// meanwhile `next` only decreases and messages hold no entries.
     probing: bool,
+    /// When this record began.
+    since: Duration,
     /// When the last message was sent.
     last_sent: Duration,
     /// Send time of the newest message that the follower answered.
--- a/src/control/consensus/membership.rs
+++ b/src/control/consensus/membership.rs
@@ -192,10 +192,27 @@
     }
 
     /// Whether a learner that takes no voter's place may become a voter beside them.
+    ///
+    /// With open admission only if every voter answered since the learner was admitted. One more
+    /// voter may raise the quorum: beside a voter that was lost before, the larger cluster would
+    /// tolerate one loss less than its size promises. That voter answers again, or loses its place.
     fn may_add(&self, learner: &member::Member) -> bool {
         let members = self.membership();
         let is_ordered = self.settings.admission == Admission::Ordered;
-        is_ordered || members.invite(learner.addr).is_some() || members.voters.len() < MAX_VOTERS
+        if is_ordered || members.invite(learner.addr).is_some() {
+            return true;
+        }
+        let RoleState::Leader(lead) = &self.role else {
+            return false;
+        };
+        let Some(since) = lead.peers.get(learner).map(|peer| peer.since) else {
+            return false;
+        };
+        let answers = |one: &member::Member| {
+            let peer = lead.peers.get(one);
+            *one == self.me() || peer.is_some_and(|peer| peer.last_answered > since)
+        };
+        members.voters.len() < MAX_VOTERS && members.voters.iter().all(answers)
     }
 
     fn exchange(&mut self, now: Duration, exchange: member::Exchange) {
--- a/src/control/consensus/replication.rs
+++ b/src/control/consensus/replication.rs
@@ -41,6 +41,7 @@
             matched: 0,
             next: tail + 1,
             probing: false,
+            since: now,
             last_sent: Duration::ZERO,
             last_answered: now,
             snapshot: None,
--- a/tests/member_changes.rs
+++ b/tests/member_changes.rs
@@ -61,6 +61,8 @@
     DownVoter,
     /// A machine joins while a voter is silent.
     SilentVoter,
+    /// A machine joins in place of one that never returns.
+    GoneVoter,
     /// Two machines join at once while a voter is silent.
     TwoNewcomers,
     /// A machine with a slow disk joins while a voter is silent, beside changes and snapshots.
@@ -83,10 +85,11 @@
     FiveVoters,
 }
 
-const PATHS: [Path; 13] = [
+const PATHS: [Path; 14] = [
     Path::Addition,
     Path::DownVoter,
     Path::SilentVoter,
+    Path::GoneVoter,
     Path::TwoNewcomers,
     Path::SlowNewcomer,
     Path::EmptyFollower,
@@ -218,6 +221,14 @@
                 let claims = (1..400).map(|key| work::claim(key, u128::from(key)));
                 self.sim.add_client(claims.collect());
             }
+            Path::GoneVoter => {
+                self.sim.lose_for_good(follower);
+                let successor = self.join();
+                self.spent = Some(Spent {
+                    lost: follower,
+                    successor,
+                });
+            }
             Path::EmptyFollower => self.lose_disk_first(follower),
             Path::EmptyLeader => self.lose_disk_first(leader),
             Path::NamedFollower | Path::NamedLeader => {
