Show that a founder lost before the founding stops the start

Cause: only the listed process with the lowest address founds the first cluster, and only in its first start. If it loses its disk before that, or all listed processes start again, nobody may. No command is sent before the strike, so nothing acknowledged is lost.

--- a/tests/member_changes.rs
+++ b/tests/member_changes.rs
@@ -55,6 +55,8 @@
 /// How the membership changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Path {
+    /// The first members found the cluster.
+    Founding,
     /// A machine joins while all voters answer.
     Addition,
     /// A machine joins while a voter is down, at first not for long enough to lose its place.
@@ -174,6 +176,7 @@
 impl Case {
     fn new(path: Path, seed: u64) -> Self {
         let sim = match path {
+            Path::Founding => Sim::open(3, 3, seed),
             Path::NamedFollower | Path::NamedLeader => Sim::new(3, seed),
             Path::SpareVoter => Sim::open(4, 3, seed),
             Path::FiveVoters => Sim::open(5, 5, seed),
@@ -187,9 +190,11 @@
             replacement: None,
             losses: if path == Path::FiveVoters { 2 } else { 1 },
         };
-        case.change();
-        assert!(case.sim.run(LIMIT), "no first cluster");
-        case.begin(path);
+        if path != Path::Founding {
+            case.change();
+            assert!(case.sim.run(LIMIT), "no first cluster");
+            case.begin(path);
+        }
         case
     }
 
@@ -198,6 +203,7 @@
         let voters = self.sim.vms.len();
         let follower = (leader + 1) % voters;
         match path {
+            Path::Founding => {}
             Path::Addition => {
                 self.join();
             }
@@ -560,3 +566,9 @@
 fn disk_lost_between_changes() {
     check(&PATHS);
 }
+
+/// The cluster is never founded: its founder lost its disk or started again before that.
+#[test]
+fn founder_lost_before_founding() {
+    check(&[Path::Founding]);
+}
