--- a/tests/common/sim.rs
+++ b/tests/common/sim.rs
@@ -122,7 +122,8 @@
     memberships: BTreeMap<(u128, u64), member::Membership>,
     acknowledged: u64,
     last_incarnation: u64,
-    compact: usize,
+    /// Bytes of entries after which processes that start from now on take a snapshot.
+    pub compact: usize,
     /// Number of steps so far. A fault may strike at each.
     pub steps: u64,
     pub plan: Option<(u64, Fault, fault::Target)>,
--- a/tests/member_changes.rs
+++ b/tests/member_changes.rs
@@ -190,6 +190,14 @@
             replacement: None,
             losses: if path == Path::FiveVoters { 2 } else { 1 },
         };
+        if path == Path::SlowNewcomer {
+            // Nearly every entry is followed by a snapshot.
+            for vm in &mut case.sim.vms {
+                let replica = vm.replica.as_mut().expect("it runs");
+                replica.set_compact_bytes(1);
+            }
+            case.sim.compact = 1;
+        }
         if path != Path::Founding {
             case.change();
             assert!(case.sim.run(LIMIT), "no first cluster");
@@ -224,8 +232,9 @@
                 self.lose_power(follower, SILENCE);
                 let joining = self.join();
                 self.sim.vms[joining].disk.slow = ms(150);
-                let claims = (1..400).map(|key| work::claim(key, u128::from(key)));
-                self.sim.add_client(claims.collect());
+                let versions = self.version + 1..self.version + 200;
+                self.version = versions.end - 1;
+                self.sim.add_client(versions.map(publish).collect());
             }
             Path::GoneVoter => {
                 self.sim.lose_for_good(follower);
