Pass on no response whose status is none

What callers saw: a backend server that answers with status 101, 600 or 999 had its answer passed on.

Cause: the HTTP library takes any number from 100 to 999 for a status, and both the entry that drives backend servers itself and the sidecar passed on whatever it took.

Evidence: platform/tests/odd_statuses and testbed/tests/status_range, twelve texts in place of a status. On the former code "101 Switching Protocols" reaches the caller of either brain, where the tests stop; 000, one to three digits below 100, four digits, text and nothing are errors there as well.

Change: only 200 to 599 is a response. Anything else is a request that was sent and not answered: it goes elsewhere if it may run again, else it ends with 502. On the platform the check is where a connection returns a head, so it holds for reports and orders too, and before any other header counts.

--- a/src/edge.rs
+++ b/src/edge.rs
@@ -21,3 +21,4 @@
 pub mod settings;
 pub mod sidecar;
 pub mod signal;
+pub mod status;
--- a/src/edge/direct/pool.rs
+++ b/src/edge/direct/pool.rs
@@ -27,6 +27,7 @@
 
 use super::outbound;
 use crate::direct::register;
+use crate::edge::status;
 
 /// Timeout for connecting: some round trips between zones. A lost SYN packet is sent again only
 /// after a second; trying another server is faster.
@@ -212,7 +213,8 @@
         let sent = self.sender.try_send_request(request).await;
         self.meter.end_head();
         match sent {
-            Ok(response) => Ok(response),
+            Ok(response) if status::is_final(response.status().as_u16()) => Ok(response),
+            Ok(response) => Err(Failure::Sent(format!("status {}", response.status()))),
             Err(mut err) => {
                 let unsent = err.take_message().is_some();
                 let cause = err.into_error().to_string();
--- a/src/edge/sidecar/engine.rs
+++ b/src/edge/sidecar/engine.rs
@@ -472,7 +472,8 @@
     }
 }
 
-fn failure_reply(attempt: id::Attempt, cause: Cause, message: &str) -> run::Reply {
+/// The final reply of an attempt that may have run and failed.
+pub(super) fn failure_reply(attempt: id::Attempt, cause: Cause, message: &str) -> run::Reply {
     run::Reply::Failed {
         attempt,
         failure: outcome::Failure {
--- a/src/edge/sidecar/plain.rs
+++ b/src/edge/sidecar/plain.rs
@@ -5,8 +5,10 @@
 use bytes::Bytes;
 
 use super::core;
+use super::engine;
 use super::flow;
 use crate::edge::header;
+use crate::edge::status;
 use crate::sidecar::ledger;
 use crate::wire::outcome::Cause;
 use crate::wire::run;
@@ -55,6 +57,12 @@
         // The service may have received the request.
         Err(_) => return ledger::Event::Disconnected(attempt),
     };
+    let answered = response.status().as_u16();
+    if !status::is_final(answered) {
+        let message = format!("the service answered with status {answered}");
+        let reply = engine::failure_reply(attempt, Cause::ServerError, &message);
+        return ledger::Event::Ended(reply);
+    }
     core.send(core::Message::Event(ledger::Event::FirstOutput(attempt)))
         .await;
     let passed = response.headers().iter().filter_map(|(name, value)| {
@@ -62,7 +70,7 @@
         let value = value.to_str().ok()?;
         (!header::stays_of_answer(name)).then(|| (name.to_owned(), value.to_owned()))
     });
-    flow.set_head(response.status().as_u16(), passed.collect());
+    flow.set_head(answered, passed.collect());
     loop {
         match response.chunk().await {
             Ok(Some(chunk)) => flow.push_bytes(&chunk).await,
--- a/testbed/src/lib.rs
+++ b/testbed/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod load;
 pub mod proxy;
 pub mod replica;
+pub mod script;
 pub mod service;
 pub mod token;
--- a/testbed/src/replica.rs
+++ b/testbed/src/replica.rs
@@ -18,6 +18,8 @@
 use tokio::task;
 use tokio::time;
 
+use crate::script;
+
 /// Events of a whole stream.
 pub const EVENTS: usize = 20;
 
@@ -291,6 +293,8 @@
     /// Requests a second that it takes from all, if it names a limit.
     limit: Option<f64>,
     framing: Framing,
+    /// How it answers requests, whatever else is set.
+    script: Option<script::Script>,
     /// The prompt part under which it crashes.
     fatal: Option<(String, Crash)>,
     life: watch::Sender<Life>,
@@ -396,6 +400,11 @@
         self.state.lock().expect("state lock").framing = framing;
     }
 
+    /// From now on it answers requests as a script says, or as it should.
+    pub fn script(&self, script: Option<script::Script>) {
+        self.state.lock().expect("state lock").script = script;
+    }
+
     /// From now on it crashes whenever it begins to answer a request with this prompt part.
     pub fn crash_on(&self, part: &str, crash: Crash) {
         self.state.lock().expect("state lock").fatal = Some((part.to_owned(), crash));
@@ -599,7 +608,16 @@
     state: Arc<Mutex<State>>,
     working: Arc<AtomicUsize>,
 ) {
-    while let Some(request) = read(tcp).await {
+    while let Some((mut request, len)) = read_head(tcp).await {
+        if let Some(script) = scripted(&state, &id, &request) {
+            // Fails only if the connection has ended already.
+            let _ = script.play(tcp, request.header("x-request-id"), len).await;
+            return;
+        }
+        request.body.resize(len, 0);
+        if tcp.read_exact(&mut request.body).await.is_err() {
+            return;
+        }
         let (mut rx, mut tx) = tcp.split();
         let served = serve(&mut tx, &id, &state, &working, request);
         let mut probe = [0; 1];
@@ -637,8 +655,18 @@
     }
 }
 
-/// Reads one request. `None`: the connection ended.
-async fn read(tcp: &mut TcpStream) -> Option<Request> {
+/// How a request is answered by script, if it is.
+fn scripted(state: &Mutex<State>, id: &str, request: &Request) -> Option<script::Script> {
+    let is_expected = !request.is(" /v1/") && request.header("x-expect-instance") == id;
+    let mut state = state.lock().expect("state lock");
+    let script = state.script.clone().filter(|_| is_expected)?;
+    state.received.push((Instant::now(), request.clone()));
+    state.ran.push(request.clone());
+    Some(script)
+}
+
+/// Reads the head of a request, and the length of its body. `None`: the connection ended.
+async fn read_head(tcp: &mut TcpStream) -> Option<(Request, usize)> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.push(tcp.read_u8().await.ok()?);
@@ -653,13 +681,12 @@
     let len = headers
         .get("content-length")
         .and_then(|one| one.parse().ok());
-    let mut body = vec![0; len.unwrap_or(0)];
-    tcp.read_exact(&mut body).await.ok()?;
-    Some(Request {
+    let request = Request {
         line,
         headers,
-        body,
-    })
+        body: Vec::new(),
+    };
+    Some((request, len.unwrap_or(0)))
 }
 
 /// Counts an arrival. Returns the header lines that all its answers bear now.
