Send a call elsewhere whose unframed answer broke off

What callers saw: a plain service begins a 200 without a length at once, sends a part and resets the connection while the body is still written. Nobody got the part as a whole.

Cause: an entry holds an answer without a length until its end, but its sidecar passed the head on as it came, and a call whose answer has begun does not go elsewhere.

Evidence: testbed/tests/early_answers on the former code: 502 in the first form tried. The platform, which holds such answers in one place, passes platform/tests/early_resets on the former code too.

Change: the sidecar holds an answer without a length, up to the 16 MiB that the entry holds.

Result: both tests pass: answers with and without a length, streams, uploads of 5 bytes and 3 MiB, with a length and in chunks, the reset before any, after half and after the last byte of the body.

--- a/src/edge/sidecar/plain.rs
+++ b/src/edge/sidecar/plain.rs
@@ -13,6 +13,32 @@
 use crate::wire::outcome::Cause;
 use crate::wire::run;
 
+/// Most bytes that are held of a response without a length.
+const MAX_HELD_BYTES: usize = 16 << 20;
+
+/// Why a response could not be held.
+enum Held {
+    /// It broke off.
+    Broken,
+    /// It is longer than [`MAX_HELD_BYTES`].
+    TooLong,
+}
+
+/// Reads a response without a length to its end. Before that nothing of it is passed on: a call whose
+/// response has begun cannot go on at another server.
+async fn hold(response: &mut reqwest::Response) -> Result<Vec<Bytes>, Held> {
+    let mut held = Vec::new();
+    let mut bytes = 0;
+    while let Some(chunk) = response.chunk().await.map_err(|_| Held::Broken)? {
+        bytes += chunk.len();
+        if bytes > MAX_HELD_BYTES {
+            return Err(Held::TooLong);
+        }
+        held.push(chunk);
+    }
+    Ok(held)
+}
+
 /// Calls the service and reads its response. Returns the event that reports how it ended.
 pub async fn call(
     client: &reqwest::Client,
@@ -65,12 +91,28 @@
     }
     core.send(core::Message::Event(ledger::Event::FirstOutput(attempt)))
         .await;
+    let held = match response.content_length() {
+        Some(_) => Vec::new(),
+        None => match hold(&mut response).await {
+            Ok(held) => held,
+            Err(Held::Broken) => return ledger::Event::Disconnected(attempt),
+            Err(Held::TooLong) => {
+                let message =
+                    format!("an answer without a length is held up to {MAX_HELD_BYTES} bytes");
+                let reply = engine::failure_reply(attempt, Cause::ServerError, &message);
+                return ledger::Event::Ended(reply);
+            }
+        },
+    };
     let passed = response.headers().iter().filter_map(|(name, value)| {
         let name = name.as_str();
         let value = value.to_str().ok()?;
         (!header::stays_of_answer(name)).then(|| (name.to_owned(), value.to_owned()))
     });
     flow.set_head(answered, passed.collect());
+    for chunk in &held {
+        flow.push_bytes(chunk).await;
+    }
     loop {
         match response.chunk().await {
             Ok(Some(chunk)) => flow.push_bytes(&chunk).await,
