--- a/testbed/src/script.rs
+++ b/testbed/src/script.rs
@@ -33,6 +33,9 @@
     "",
 ];
 
+/// Incarnation that a [`Server`] names where it is taken for an engine.
+pub const INCARNATION: u64 = 7;
+
 /// Bytes in a chunk of an upload.
 const CHUNK: usize = 64 << 10;
 
@@ -218,11 +221,12 @@
         let mut body = vec![0; len];
         tcp.read_exact(&mut body).await?;
         let body = match line.split(' ').nth(1).unwrap_or_default() {
-            "/v1/runs" => "{\"incarnation\":7,\"runs\":[]}",
-            "/v1/load" => "{}",
-            path if path.starts_with("/v1/cache") => "{\"first\":0,\"next\":0}",
-            path if path.starts_with("/v1/") => "",
-            _ => "whole",
+            "/v1/runs" => format!("{{\"incarnation\":{INCARNATION},\"runs\":[]}}"),
+            // Faster than others, so that prompts come here first.
+            "/v1/load" => "{\"prefill_rate\":100000000,\"token_micros\":1}".to_owned(),
+            path if path.starts_with("/v1/cache") => "{\"first\":0,\"next\":0}".to_owned(),
+            path if path.starts_with("/v1/") => String::new(),
+            _ => "whole".to_owned(),
         };
         let status = if body.is_empty() { 404 } else { 200 };
         let text = format!(
--- a/testbed/tests/common/scripted.rs
+++ b/testbed/tests/common/scripted.rs
@@ -9,6 +9,7 @@
 use testbed::announce;
 use testbed::fleet;
 use testbed::fleet::Fleet;
+use testbed::script;
 use testbed::script::Script;
 use testbed::script::Server;
 use testbed::script::Upload;
@@ -68,7 +69,7 @@
         };
         for number in 1..=2 {
             let server = Server::start().await.expect("a server");
-            site.announce(number, &server);
+            announce(&mut site.fleet, &portal(number, &server));
             site.servers.push(server);
         }
         for at in 0..2 {
@@ -77,34 +78,6 @@
         site
     }
 
-    /// Starts a sidecar, and announces a server to it until the test ends.
-    fn announce(&mut self, number: usize, server: &Server) {
-        let entry = self.fleet.get("entry-1").link.expect("its link");
-        let args = ["--role=sidecar", "--entries", &entry.to_string()];
-        let sidecar = self.fleet.add_daemon("portal-sidecar", number, None, &args);
-        let sidecar = sidecar.expect("a sidecar");
-        let settings = announce::Settings {
-            sidecar: format!("http://{}", self.fleet.processes[sidecar].http),
-            key: fleet::BACKEND_KEY.to_owned(),
-        };
-        let announcement = announce::Announcement {
-            server: format!("crew-portal-{number}"),
-            service: "crew-portal".to_owned(),
-            kind: "plain",
-            url: format!("http://{}", server.addr),
-            incarnation: 7,
-            models: Vec::new(),
-            slots: 8,
-            memory_tokens: 0,
-            ttl_ms: 2_000,
-            leaving: false,
-        };
-        let current = move || announcement.clone();
-        let (presence, _) = watch::channel(None);
-        let changed = Arc::new(Notify::new());
-        tokio::spawn(announce::run(settings, current, changed, presence));
-    }
-
     /// Waits until a server gets calls.
     async fn until_served(&self, at: usize) {
         let end = time::Instant::now() + WAIT;
@@ -151,6 +124,39 @@
     }
 }
 
+fn portal(number: usize, server: &Server) -> announce::Announcement {
+    announce::Announcement {
+        server: format!("crew-portal-{number}"),
+        service: "crew-portal".to_owned(),
+        kind: "plain",
+        url: format!("http://{}", server.addr),
+        incarnation: script::INCARNATION,
+        models: Vec::new(),
+        slots: 8,
+        memory_tokens: 0,
+        ttl_ms: 2_000,
+        leaving: false,
+    }
+}
+
+/// Starts a sidecar, and announces a server to it until the test ends.
+pub fn announce(fleet: &mut Fleet, announcement: &announce::Announcement) {
+    let entry = fleet.get("entry-1").link.expect("its link").to_string();
+    let args = ["--role=sidecar", "--entries", &entry];
+    let number = fleet.processes.len();
+    let sidecar = fleet.add_daemon("scripted-sidecar", number, None, &args);
+    let sidecar = sidecar.expect("a sidecar");
+    let settings = announce::Settings {
+        sidecar: format!("http://{}", fleet.processes[sidecar].http),
+        key: fleet::BACKEND_KEY.to_owned(),
+    };
+    let announcement = announcement.clone();
+    let current = move || announcement.clone();
+    let (presence, _) = watch::channel(None);
+    let changed = Arc::new(Notify::new());
+    tokio::spawn(announce::run(settings, current, changed, presence));
+}
+
 fn request(path: &str, upload: Upload, bytes: usize) -> Vec<u8> {
     let head = format!(
         "POST /services/crew-portal{path} HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\
